--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# The tasks of the project; `make` lists them.
+MODULES := core router operator lab
+TOOLS   := $(CURDIR)/.bin
+
+.PHONY: help build test format lint vet race demo
+
+help: ## list the tasks
+	@awk -F ':.*## ' '/^[a-z-]+:.*## /{printf "%-10s %s\n", $$1, $$2}' Makefile
+
+build: ## build the three programs into .bin
+	@mkdir -p .bin
+	@go build -o .bin/bronzewind ./router
+	@go build -o .bin/bronzectl ./operator
+	@go build -o .bin/bronzelab ./lab
+
+test: format lint vet build race ## format check, lint, vet, build, race tests
+
+tools: $(TOOLS)/gofumpt
+
+$(TOOLS)/gofumpt: tools/go.mod
+	@cd tools && GOWORK=off GOBIN=$(TOOLS) go install tool
+
+format: tools ## check the format of all Go files
+	@out=$$($(TOOLS)/gofumpt -l $(MODULES)); test -z "$$out" || { echo "not formatted (run .bin/gofumpt -w .):"; echo "$$out"; exit 1; }
+
+lint: tools ## staticcheck, revive, exhaustive type switches
+	@for m in $(MODULES); do (cd $$m && $(TOOLS)/staticcheck ./... && $(TOOLS)/revive -config ../tools/revive.toml -set_exit_status ./... && $(TOOLS)/go-check-sumtype ./...) || exit 1; done
+
+vet: ## go vet in every module
+	@for m in $(MODULES); do (cd $$m && go vet ./...) || exit 1; done
+
+race: ## race tests in every module
+	@scripts/race-tests $(MODULES)
+
+demo: build ## run the main job on loopback
+	@scripts/demo
--- /dev/null
+++ b/core/config/parse.go
@@ -0,0 +1,98 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+)
+
+// Problem is one fault of a document, with the place and the mend.
+type Problem struct {
+	Field string // path of the field, for example "services[0].slots"
+	Fault string
+	Mend  string
+}
+
+// Error returns field, fault and mend in one line.
+func (p *Problem) Error() string {
+	return fmt.Sprintf("%s: %s; %s", p.Field, p.Fault, p.Mend)
+}
+
+// Parse reads and checks a document. An unknown field, a missing value and a
+// contradiction are errors; a syntax error names its line.
+func Parse(document []byte) (*Configuration, error) {
+	var c Configuration
+	if err := yaml.UnmarshalWithOptions(document, &c, yaml.Strict()); err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	if err := c.Check(); err != nil {
+		return nil, err
+	}
+	return &c, nil
+}
+
+// Encode writes c as YAML; equal configurations give equal bytes.
+func (c *Configuration) Encode() ([]byte, error) {
+	return yaml.Marshal(c)
+}
+
+// Check returns all problems of c joined, or nil.
+func (c *Configuration) Check() error {
+	var ps []error
+	add := func(bad bool, field, fault, mend string) {
+		if bad {
+			ps = append(ps, &Problem{Field: field, Fault: fault, Mend: mend})
+		}
+	}
+	add(c.Version == 0, "version", "is 0", "start at 1")
+	add(c.Fleet == "", "fleet", "is empty", "give the fleet a name")
+	add(len(c.Regions) == 0, "regions", "is empty", "name at least one region")
+	add(len(c.Services) == 0, "services", "is empty", "configure at least one service")
+	t := c.Timing
+	add(t.Lease <= 0, "timing.lease", "is not positive", "give a duration such as 500ms")
+	add(t.Heartbeat <= 0 || t.Heartbeat*3 > t.Lease, "timing.heartbeat", "is not within a third of the lease", "lower heartbeat or raise lease")
+	add(t.Grant <= 0, "timing.grant", "is not positive", "give a duration such as 400ms")
+	add(t.GrantRenewal <= 0 || t.GrantRenewal*3 > t.Grant, "timing.grant-renewal", "is not within a third of the grant", "lower grant-renewal or raise grant")
+	add(t.DriftPerMil < 0 || t.DriftPerMil > 100, "timing.drift-per-mil", "is not between 0 and 100", "give the bound of the clock's drift in thousandths")
+	for i := range c.Services {
+		c.Services[i].check(fmt.Sprintf("services[%d]", i), add)
+	}
+	return errors.Join(ps...)
+}
+
+func (s *Service) check(at string, add func(bad bool, field, fault, mend string)) {
+	add(s.Name == "", at+".name", "is empty", "name the service")
+	add(!strings.HasPrefix(s.PathPrefix, "/") || !strings.HasSuffix(s.PathPrefix, "/"), at+".path-prefix", "does not start and end with \"/\"", "write it as \"/"+s.Name+"/\"")
+	add(s.Slots < 1 || s.Slots > 1<<20 || s.Slots&(s.Slots-1) != 0, at+".slots", "is not a power of two up to 1048576", "choose for example 4096")
+	add(s.ServerSlots < 1, at+".server-slots", "is not positive", "give the number of requests that a backend server runs at once")
+	add(s.Connections < s.ServerSlots, at+".connections", "is below server-slots", "raise connections")
+	add(len(s.Kinds) == 0, at+".kinds", "is empty", "configure at least one kind of work")
+	switch s.Key.From {
+	case KeyFromPath:
+		add(s.Key.Segment < 0, at+".key.segment", "is negative", "count path segments from 0")
+	case KeyFromHeader, KeyFromQuery:
+		add(s.Key.Name == "", at+".key.name", "is empty", "name the header or query parameter")
+	default:
+		add(true, at+".key.from", fmt.Sprintf("is %q", s.Key.From), "use path, header or query")
+	}
+	for i := range s.Kinds {
+		s.Kinds[i].check(fmt.Sprintf("%s.kinds[%d]", at, i), add)
+	}
+}
+
+func (k *Kind) check(at string, add func(bad bool, field, fault, mend string)) {
+	add(k.Name == "", at+".name", "is empty", "name the kind of work")
+	add(k.Method == "", at+".method", "is empty", "give an HTTP method such as GET")
+	add(k.Rank < 0 || k.Rank >= RankCount, at+".rank", "is not 0, 1 or 2", "use 0 for urgent, 1 for normal, 2 for bulk")
+	add(k.Worth <= 0, at+".worth", "is not positive", "give the worth of one request")
+	add(k.Target <= 0, at+".target", "is not positive", "give the wanted response time")
+	add(k.Patience < k.Target, at+".patience", "is below the target", "raise patience to at least the target")
+	add(k.ServiceTime <= 0, at+".service-time", "is not positive", "give the expected time in a slot")
+	add(k.OnceOnly && k.Retries != 0, at+".retries", "is not 0 for once-only work", "set retries to 0, or once-only to false")
+	add(k.Retries < 0, at+".retries", "is negative", "use 0 or more")
+	add(k.Floor < 0 || k.Floor >= 1, at+".floor", "is not from 0 to below 1", "give a share of slot time")
+	add(k.QueueLimit < 1, at+".queue-limit", "is not positive", "give the most requests queued at one dispatcher")
+	add(k.BodyBytes < 0, at+".body-bytes", "is negative", "give the largest body in bytes")
+}
--- /dev/null
+++ b/core/platform/platform.go
@@ -0,0 +1,47 @@
+// Package platform speaks to the services that the platform gives: the
+// append-only log and the list of backend servers. Swapping the adapter
+// touches this package alone.
+package platform
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+type (
+	// Log is the platform's append-only log service.
+	Log interface {
+		// Append adds data and returns its offset. After an error the data may
+		// or may not have been added.
+		Append(ctx context.Context, data []byte) (offset uint64, err error)
+		// Read returns the records from offset on, waiting up to wait for the
+		// first. It returns ErrTruncated when offset is no longer kept.
+		Read(ctx context.Context, offset uint64, wait time.Duration) (Batch, error)
+	}
+
+	// Batch is a run of records; Entries[i] has offset First+i.
+	Batch struct {
+		Oldest  uint64 // offset of the oldest record still kept
+		First   uint64
+		Entries [][]byte
+	}
+
+	// Listing is the platform's list of backend servers; it lags.
+	Listing interface {
+		List(ctx context.Context) ([]Listed, error)
+	}
+
+	// Listed is one row of the list.
+	Listed struct {
+		Name          string `json:"name"`
+		Service       string `json:"service"`
+		Address       string `json:"address"`
+		Region        string `json:"region"`
+		FailureDomain string `json:"failure-domain"`
+		Leaving       bool   `json:"leaving"`
+	}
+)
+
+// ErrTruncated means that the log no longer keeps the offset asked for.
+var ErrTruncated = errors.New("log no longer keeps this offset")
--- /dev/null
+++ b/core/record/record.go
@@ -0,0 +1,216 @@
+// Package record is the format of the records that the system keeps in the
+// platform's append-only log.
+package record
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"bronzewind.example/core/keyspace"
+)
+
+type (
+	// Writer is one run of an instance: a restart is a new writer.
+	Writer struct {
+		Instance    string `cbor:"1,keyasint"`
+		Incarnation uint64 `cbor:"2,keyasint"` // differs between runs of an instance
+	}
+
+	// Record is one entry of the log.
+	Record struct {
+		ID     string // unique for each intended change; a repeat has the same ID
+		Writer Writer
+		Body   Body
+	}
+
+	// Body is what a record says. The set of bodies is sealed.
+	//
+	//sumtype:decl
+	Body interface{ kind() uint }
+
+	// ConfigurationPublished replaces the configuration; void unless Base is
+	// the version in force.
+	ConfigurationPublished struct {
+		Base     uint64 `cbor:"1,keyasint"`
+		Document []byte `cbor:"2,keyasint"` // YAML of version Base+1
+		Author   string `cbor:"3,keyasint"`
+	}
+
+	// InstanceJoined makes the writer a member of the fleet.
+	InstanceJoined struct {
+		Region        string `cbor:"1,keyasint"`
+		FailureDomain string `cbor:"2,keyasint"`
+		Control       string `cbor:"3,keyasint"` // UDP address of control traffic
+		Forward       string `cbor:"4,keyasint"` // QUIC address of forwarded requests
+		Admin         string `cbor:"5,keyasint"` // HTTP address of probes and metrics
+		Fingerprint   []byte `cbor:"6,keyasint"` // SHA-256 of the instance's certificate
+	}
+
+	// InstanceLeft ends the writer's membership at its own wish; it holds
+	// nothing any more.
+	InstanceLeft struct{}
+
+	// InstanceLost ends the membership of another instance whose lease lapsed.
+	InstanceLost struct {
+		Member Writer `cbor:"1,keyasint"`
+	}
+
+	// CoordinatorClaimed makes the writer coordinator; void unless Term
+	// follows the service's current term.
+	CoordinatorClaimed struct {
+		Service string `cbor:"1,keyasint"`
+		Term    uint64 `cbor:"2,keyasint"`
+	}
+
+	// ServerRow places one backend server under a dispatcher.
+	ServerRow struct {
+		Name          string `cbor:"1,keyasint"`
+		Address       string `cbor:"2,keyasint"`
+		Region        string `cbor:"3,keyasint"`
+		FailureDomain string `cbor:"4,keyasint"`
+		Dispatcher    Writer `cbor:"5,keyasint"`
+		Leaving       bool   `cbor:"6,keyasint"`
+	}
+
+	// ServerReported says whether a backend server answers its dispatcher, who
+	// alone may write it. Up false frees all its slots: the writer vouches that
+	// every grant has lapsed.
+	ServerReported struct {
+		Service     string `cbor:"1,keyasint"`
+		Server      string `cbor:"2,keyasint"`
+		Epoch       uint64 `cbor:"3,keyasint"` // of the writer's dispatcher role
+		Up          bool   `cbor:"4,keyasint"`
+		Incarnation uint64 `cbor:"5,keyasint"` // run of the backend server
+	}
+
+	// ServersPlaced adds or changes backend servers and their dispatchers;
+	// void unless Term is current and Base is the service's version.
+	ServersPlaced struct {
+		Service string      `cbor:"1,keyasint"`
+		Term    uint64      `cbor:"2,keyasint"`
+		Base    uint64      `cbor:"3,keyasint"`
+		Servers []ServerRow `cbor:"4,keyasint"`
+	}
+
+	// SlotRange is slots First to Last, both included.
+	SlotRange struct {
+		First  keyspace.Slot `cbor:"1,keyasint"`
+		Last   keyspace.Slot `cbor:"2,keyasint"`
+		Server string        `cbor:"3,keyasint"`
+	}
+
+	// SlotsAssigned gives free slots to backend servers, and names the next
+	// owner of owned ones, which then move; void unless Term is current and
+	// Base is the service's version.
+	SlotsAssigned struct {
+		Service string      `cbor:"1,keyasint"`
+		Term    uint64      `cbor:"2,keyasint"`
+		Base    uint64      `cbor:"3,keyasint"`
+		Ranges  []SlotRange `cbor:"4,keyasint"`
+	}
+
+	// SlotsReleased says that the old grants of slots have lapsed or were
+	// revoked; only the dispatcher of their owner may write it.
+	SlotsReleased struct {
+		Service string      `cbor:"1,keyasint"`
+		Epoch   uint64      `cbor:"2,keyasint"` // of the writer's dispatcher role
+		Ranges  []SlotRange `cbor:"3,keyasint"` // Server is the owner that released
+	}
+)
+
+const (
+	kindConfigurationPublished uint = iota + 1
+	kindInstanceJoined
+	kindInstanceLeft
+	kindInstanceLost
+	kindCoordinatorClaimed
+	kindServersPlaced
+	kindSlotsAssigned
+	kindSlotsReleased
+	kindServerReported
+)
+
+func (ConfigurationPublished) kind() uint { return kindConfigurationPublished }
+func (InstanceJoined) kind() uint         { return kindInstanceJoined }
+func (InstanceLeft) kind() uint           { return kindInstanceLeft }
+func (InstanceLost) kind() uint           { return kindInstanceLost }
+func (CoordinatorClaimed) kind() uint     { return kindCoordinatorClaimed }
+func (ServersPlaced) kind() uint          { return kindServersPlaced }
+func (SlotsAssigned) kind() uint          { return kindSlotsAssigned }
+func (SlotsReleased) kind() uint          { return kindSlotsReleased }
+func (ServerReported) kind() uint         { return kindServerReported }
+
+// String returns instance and incarnation.
+func (w Writer) String() string { return fmt.Sprintf("%s#%d", w.Instance, w.Incarnation) }
+
+type envelope struct {
+	ID     string          `cbor:"1,keyasint"`
+	Writer Writer          `cbor:"2,keyasint"`
+	Kind   uint            `cbor:"3,keyasint"`
+	Body   cbor.RawMessage `cbor:"4,keyasint"`
+}
+
+// Encode returns the bytes of r as they stand in the log.
+func Encode(r Record) ([]byte, error) {
+	body, err := cbor.Marshal(r.Body)
+	if err != nil {
+		return nil, fmt.Errorf("record %s: %w", r.ID, err)
+	}
+	return cbor.Marshal(envelope{ID: r.ID, Writer: r.Writer, Kind: r.Body.kind(), Body: body})
+}
+
+// UnknownKindError is a well-formed record of a kind that this program does
+// not know, written by a newer one.
+type UnknownKindError struct {
+	ID   string
+	Kind uint
+}
+
+// Error names the record and its kind.
+func (e *UnknownKindError) Error() string {
+	return fmt.Sprintf("record %s has unknown kind %d", e.ID, e.Kind)
+}
+
+// Decode reads the bytes of a record. A damaged record gives an error; one of
+// an unknown kind an *UnknownKindError.
+func Decode(data []byte) (Record, error) {
+	var e envelope
+	if err := cbor.Unmarshal(data, &e); err != nil {
+		return Record{}, fmt.Errorf("damaged record: %w", err)
+	}
+	r := Record{ID: e.ID, Writer: e.Writer}
+	var err error
+	switch e.Kind {
+	case kindConfigurationPublished:
+		r.Body, err = decodeBody[ConfigurationPublished](e.Body)
+	case kindInstanceJoined:
+		r.Body, err = decodeBody[InstanceJoined](e.Body)
+	case kindInstanceLeft:
+		r.Body, err = decodeBody[InstanceLeft](e.Body)
+	case kindInstanceLost:
+		r.Body, err = decodeBody[InstanceLost](e.Body)
+	case kindCoordinatorClaimed:
+		r.Body, err = decodeBody[CoordinatorClaimed](e.Body)
+	case kindServersPlaced:
+		r.Body, err = decodeBody[ServersPlaced](e.Body)
+	case kindSlotsAssigned:
+		r.Body, err = decodeBody[SlotsAssigned](e.Body)
+	case kindSlotsReleased:
+		r.Body, err = decodeBody[SlotsReleased](e.Body)
+	case kindServerReported:
+		r.Body, err = decodeBody[ServerReported](e.Body)
+	default:
+		return Record{}, &UnknownKindError{ID: e.ID, Kind: e.Kind}
+	}
+	if err != nil {
+		return Record{}, fmt.Errorf("damaged record %s: %w", e.ID, err)
+	}
+	return r, nil
+}
+
+func decodeBody[T Body](data []byte) (Body, error) {
+	var b T
+	err := cbor.Unmarshal(data, &b)
+	return b, err
+}
--- /dev/null
+++ b/core/route/table.go
@@ -0,0 +1,120 @@
+// Package route is the immutable snapshot that traffic reads: which backend
+// server owns a key, and which instance dispatches to it.
+package route
+
+import (
+	"bronzewind.example/core/config"
+	"bronzewind.example/core/keyspace"
+	"bronzewind.example/core/record"
+	"bronzewind.example/core/state"
+)
+
+// noServer marks a slot without an owner in Service.owners.
+const noServer = 0xffff
+
+type (
+	// Table is one snapshot for all services.
+	Table struct {
+		Configuration *config.Configuration // never nil
+		Offset        uint64                // the fold's next offset at the time
+		services      map[string]*Service
+	}
+
+	// Service is the snapshot of one service.
+	Service struct {
+		Config  *config.Service
+		servers []Server
+		owners  []uint16 // by slot; index into servers, or noServer
+		epochs  []uint64 // by slot; epoch of the ownership
+	}
+
+	// Server is a backend server with the instance that dispatches to it.
+	Server struct {
+		Service       string
+		Name          string
+		Address       string
+		Region        string
+		FailureDomain string
+		Up            bool
+		Leaving       bool
+		Epoch         uint64 // of the dispatcher role
+		Dispatcher    record.Writer
+		Forward       string // QUIC address of the dispatcher; "" when it is no member
+		Fingerprint   []byte // of the dispatcher's certificate
+	}
+)
+
+// NewTable returns the snapshot of s, or nil before the first configuration.
+func NewTable(s *state.State) *Table {
+	if s.Configuration == nil {
+		return nil
+	}
+	t := &Table{Configuration: s.Configuration, Offset: s.Next, services: make(map[string]*Service, len(s.Services))}
+	for i := range s.Configuration.Services {
+		c := &s.Configuration.Services[i]
+		if v, ok := s.Services[c.Name]; ok {
+			t.services[c.Name] = newService(s, c, v)
+		}
+	}
+	return t
+}
+
+func newService(s *state.State, c *config.Service, v *state.Service) *Service {
+	names := v.ServerNames()
+	index := make(map[string]uint16, len(names))
+	out := &Service{
+		Config:  c,
+		servers: make([]Server, 0, len(names)),
+		owners:  make([]uint16, len(v.Slots)),
+		epochs:  make([]uint64, len(v.Slots)),
+	}
+	for i, n := range names {
+		index[n] = uint16(i)
+		out.servers = append(out.servers, newServer(s, c.Name, v.Servers[n]))
+	}
+	for i, row := range v.Slots {
+		out.owners[i] = noServer
+		if k, ok := index[row.Owner]; ok {
+			out.owners[i] = k
+		}
+		out.epochs[i] = row.Epoch
+	}
+	return out
+}
+
+func newServer(s *state.State, service string, v state.Server) Server {
+	out := Server{
+		Service: service, Name: v.Row.Name, Address: v.Row.Address,
+		Region: v.Row.Region, FailureDomain: v.Row.FailureDomain,
+		Up: v.Up, Leaving: v.Row.Leaving,
+		Epoch: v.Epoch, Dispatcher: v.Row.Dispatcher,
+	}
+	if m, ok := s.Members[v.Row.Dispatcher.Instance]; ok && m.Writer == v.Row.Dispatcher {
+		out.Forward, out.Fingerprint = m.Joined.Forward, m.Joined.Fingerprint
+	}
+	return out
+}
+
+// Service returns the snapshot of the service called name.
+func (t *Table) Service(name string) (*Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Owner returns the backend server that owns slot and the epoch of the
+// ownership; false while the slot has no owner.
+func (s *Service) Owner(slot keyspace.Slot) (*Server, uint64, bool) {
+	i := s.owners[slot]
+	if i == noServer {
+		return nil, 0, false
+	}
+	return &s.servers[i], s.epochs[slot], true
+}
+
+// Lookup returns the owner of the key with hash h.
+func (s *Service) Lookup(h keyspace.Hash) (*Server, uint64, bool) {
+	return s.Owner(h.Slot(len(s.owners)))
+}
+
+// Servers returns all backend servers in order of name; it is not to be changed.
+func (s *Service) Servers() []Server { return s.servers }
--- /dev/null
+++ b/core/state/state.go
@@ -0,0 +1,153 @@
+// Package state is the agreed state of the fleet: a deterministic fold over
+// the records of the log in offset order. Readers that folded the same records
+// hold the same state.
+package state
+
+import (
+	"sort"
+
+	"bronzewind.example/core/config"
+	"bronzewind.example/core/keyspace"
+	"bronzewind.example/core/record"
+)
+
+type (
+	// Member is an instance that the log counts.
+	Member struct {
+		Writer record.Writer
+		Joined record.InstanceJoined
+	}
+
+	// Server is a backend server under its dispatcher.
+	Server struct {
+		Row   record.ServerRow
+		Epoch uint64 // of the dispatcher role; grows at each change of Dispatcher
+		Up    bool   // as its dispatcher reported; a server that is not up owns nothing
+		Run   uint64 // incarnation that was last reported up
+	}
+
+	// SlotRow is the ownership of one slot.
+	SlotRow struct {
+		Owner string // "" while the slot is free
+		Next  string // "" unless the slot moves from Owner to Next
+		Epoch uint64 // grows at each change of Owner
+	}
+
+	// Service is the agreed state of one service.
+	Service struct {
+		Name        string
+		Term        uint64 // of the coordinator; 0 before the first
+		Coordinator record.Writer
+		Version     uint64 // grows with each accepted change of Servers or Slots
+		Servers     map[string]Server
+		Slots       []SlotRow // length is the configured slot count
+	}
+
+	// State is the whole fold. It is not safe for concurrent use.
+	State struct {
+		Next          uint64                // offset of the next record to fold
+		Configuration *config.Configuration // nil before the first
+		Author        string                // of the configuration in force
+		Members       map[string]Member     // by instance name
+		Services      map[string]*Service
+		seen          map[string]struct{} // ids of accepted records
+	}
+)
+
+// Verdict says what the fold did with a record.
+type Verdict uint8
+
+const (
+	// Accepted means that the record is part of the state.
+	Accepted Verdict = iota + 1
+	// Repeated means that a record with this ID was accepted before.
+	Repeated
+	// Stale means that the record builds on an old term, version or epoch.
+	Stale
+	// Invalid means that the record contradicts the state or the format.
+	Invalid
+)
+
+// New returns the empty state before the first record.
+func New() *State {
+	return &State{
+		Members:  map[string]Member{},
+		Services: map[string]*Service{},
+		seen:     map[string]struct{}{},
+	}
+}
+
+// Version returns the version of the configuration in force, or 0.
+func (s *State) Version() uint64 {
+	if s.Configuration == nil {
+		return 0
+	}
+	return s.Configuration.Version
+}
+
+// IsMember reports whether w is a member at present.
+func (s *State) IsMember(w record.Writer) bool {
+	m, ok := s.Members[w.Instance]
+	return ok && m.Writer == w
+}
+
+// MemberNames returns the names of all members in order.
+func (s *State) MemberNames() []string {
+	names := make([]string, 0, len(s.Members))
+	for n := range s.Members {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// ServerNames returns the names of all backend servers of v in order.
+func (v *Service) ServerNames() []string {
+	names := make([]string, 0, len(v.Servers))
+	for n := range v.Servers {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// OwnedBy returns the slots that server owns, as ranges in order.
+func (v *Service) OwnedBy(server string) []record.SlotRange {
+	var rs []record.SlotRange
+	for i, row := range v.Slots {
+		if row.Owner != server {
+			continue
+		}
+		slot := keyspace.Slot(i)
+		if n := len(rs); n > 0 && rs[n-1].Last+1 == slot {
+			rs[n-1].Last = slot
+			continue
+		}
+		rs = append(rs, record.SlotRange{First: slot, Last: slot, Server: server})
+	}
+	return rs
+}
+
+// ServicesInOrder returns all services in order of name.
+func (s *State) ServicesInOrder() []*Service {
+	out := make([]*Service, 0, len(s.Services))
+	for _, v := range s.Services {
+		out = append(out, v)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// String returns the verdict in one word.
+func (v Verdict) String() string {
+	switch v {
+	case Accepted:
+		return "accepted"
+	case Repeated:
+		return "repeated"
+	case Stale:
+		return "stale"
+	default:
+		return "invalid"
+	}
+}
--- /dev/null
+++ b/router/caller/request.go
@@ -0,0 +1,159 @@
+package caller
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+
+	"bronzewind.example/core/backend"
+	"bronzewind.example/core/code"
+	"bronzewind.example/core/config"
+	"bronzewind.example/core/keyspace"
+	"bronzewind.example/router/dispatch"
+)
+
+const (
+	// CallerHeader names the kind of caller.
+	CallerHeader = "X-Caller-Kind"
+
+	reservedPrefix = "Bronzewind-"
+	replayBytes    = 32 << 10 // a body up to this size is kept to be sent again
+)
+
+// hopHeaders are meant for one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// read checks a caller's request and finds its service, key and kind.
+func (s *Server) read(r *http.Request) (*dispatch.Request, error) {
+	t := s.table.Load()
+	if t == nil {
+		return nil, code.NewError(code.NotReady, "the instance has no configuration yet")
+	}
+	if s.draining.Load() {
+		return nil, code.NewError(code.Draining, "the instance is shutting down")
+	}
+	for name := range r.Header {
+		if strings.HasPrefix(name, reservedPrefix) {
+			return nil, code.NewError(code.ReservedHeader, "header "+name+" is reserved")
+		}
+	}
+	service, ok := t.Configuration.ServiceFor(r.URL.Path)
+	if !ok {
+		return nil, code.NewError(code.NoService, "no service is configured for "+r.URL.Path)
+	}
+	key, ok := findKey(service, r)
+	if !ok {
+		return nil, code.NewError(code.KeyMissing, "no key in the "+string(service.Key.From))
+	}
+	kind, ok := findKind(service, r)
+	if !ok {
+		return nil, code.NewError(code.NoKind, "no kind of work is configured for "+r.Method+" "+r.URL.Path)
+	}
+	req := &dispatch.Request{
+		Service: service.Name, Kind: kind, Hash: keyspace.NewHash(key),
+		Method: r.Method, Target: r.URL.RequestURI(), Header: forwardHeader(r.Header),
+		Deadline:       s.clock.Now().Add(kind.Patience.Std()),
+		Caller:         r.Header.Get(CallerHeader),
+		IdempotencyKey: r.Header.Get(backend.IdempotencyHeader),
+	}
+	if kind.OnceOnly && req.IdempotencyKey == "" {
+		return nil, code.NewError(code.IdempotencyMissing, "kind "+kind.Name+" is once-only")
+	}
+	return req, readBody(req, r)
+}
+
+// readBody takes up a small body whole, and leaves a large one to be streamed.
+func readBody(req *dispatch.Request, r *http.Request) error {
+	limit := req.Kind.BodyBytes
+	switch {
+	case r.ContentLength == 0:
+		return nil
+	case r.ContentLength > limit:
+		return code.NewError(code.BodyTooLarge, "the body is over the limit of its kind")
+	case r.ContentLength < 0 || r.ContentLength > replayBytes:
+		req.Length = r.ContentLength
+		req.Body = http.MaxBytesReader(nil, r.Body, limit)
+		return nil
+	}
+	body := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, body); err != nil {
+		return code.NewError(code.MalformedRequest, "the body ended early: "+err.Error())
+	}
+	req.Length = r.ContentLength
+	req.Body = bytes.NewReader(body)
+	return nil
+}
+
+// replayable reports whether r may run twice and its body can be sent again.
+func replayable(r *dispatch.Request) bool {
+	_, streams := streamed(r)
+	return !r.Kind.OnceOnly && !streams
+}
+
+// rewind makes the body of r ready for another try; a streamed body that was
+// asked for can't be, one that was not needs nothing.
+func rewind(r *dispatch.Request) bool {
+	if b, ok := r.Body.(*bytes.Reader); ok {
+		_, err := b.Seek(0, io.SeekStart)
+		return err == nil
+	}
+	return true
+}
+
+func streamed(r *dispatch.Request) (io.Reader, bool) {
+	if r.Body == nil {
+		return nil, false
+	}
+	_, kept := r.Body.(*bytes.Reader)
+	return r.Body, !kept
+}
+
+func findKey(s *config.Service, r *http.Request) (string, bool) {
+	var key string
+	switch s.Key.From {
+	case config.KeyFromHeader:
+		key = r.Header.Get(s.Key.Name)
+	case config.KeyFromQuery:
+		key = r.URL.Query().Get(s.Key.Name)
+	case config.KeyFromPath:
+		parts := strings.Split(r.URL.Path[len(s.PathPrefix):], "/")
+		if s.Key.Segment < len(parts) {
+			key = parts[s.Key.Segment]
+		}
+	}
+	return key, key != ""
+}
+
+func findKind(s *config.Service, r *http.Request) (*config.Kind, bool) {
+	for i := range s.Kinds {
+		k := &s.Kinds[i]
+		if k.Method == r.Method && strings.HasSuffix(r.URL.Path, k.PathSuffix) {
+			return k, true
+		}
+	}
+	return nil, false
+}
+
+func forwardHeader(h http.Header) http.Header {
+	out := h.Clone()
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+// copyHeader copies what an answer may show to the caller.
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		if !strings.HasPrefix(name, reservedPrefix) {
+			to[name] = values
+		}
+	}
+	for _, name := range hopHeaders {
+		to.Del(name)
+	}
+}
--- /dev/null
+++ b/router/caller/server.go
@@ -0,0 +1,206 @@
+// Package caller answers the callers over HTTP: it finds the key's owner and
+// relays the answer.
+package caller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"bronzewind.example/core/clock"
+	"bronzewind.example/core/code"
+	"bronzewind.example/core/record"
+	"bronzewind.example/core/route"
+	"bronzewind.example/router/dispatch"
+)
+
+// rerouteWait is the longest wait for a newer snapshot before a route that was
+// stale is tried again.
+const rerouteWait = 20 * time.Millisecond
+
+type (
+	// Local runs requests on this instance's own dispatchers.
+	Local interface {
+		Do(ctx context.Context, r *dispatch.Request) (*dispatch.Answer, error)
+	}
+
+	// Remote runs requests on the dispatcher of another instance.
+	Remote interface {
+		Do(ctx context.Context, server *route.Server, r *dispatch.Request) (*dispatch.Answer, error)
+	}
+
+	// Server is the entry of one instance.
+	Server struct {
+		self     record.Writer
+		local    Local
+		remote   Remote
+		clock    clock.Clock
+		tracer   trace.Tracer
+		log      *slog.Logger
+		draining atomic.Bool
+
+		table   atomic.Pointer[route.Table]
+		mu      sync.Mutex
+		changed chan struct{} // closed at each SetTable; guarded by mu
+	}
+
+	// Option changes a Server at its construction.
+	Option func(*Server)
+)
+
+// WithClock sets the clock; the default is the system's.
+func WithClock(c clock.Clock) Option { return func(s *Server) { s.clock = c } }
+
+// WithTracer sets the tracer of the entry spans; the default traces nothing.
+func WithTracer(t trace.Tracer) Option { return func(s *Server) { s.tracer = t } }
+
+// NewServer returns the entry of the instance self; it answers not-ready until
+// SetTable.
+func NewServer(self record.Writer, local Local, remote Remote, log *slog.Logger, options ...Option) *Server {
+	s := &Server{
+		self: self, local: local, remote: remote, log: log,
+		clock: clock.System{}, tracer: noop.NewTracerProvider().Tracer(""),
+		changed: make(chan struct{}),
+	}
+	for _, o := range options {
+		o(s)
+	}
+	return s
+}
+
+// SetTable replaces the snapshot and wakes requests that wait for a route.
+func (s *Server) SetTable(t *route.Table) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Store(t)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Drain refuses new requests from now on.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := s.tracer.Start(ctx, "entry", trace.WithAttributes(attribute.String("path", r.URL.Path)))
+	defer span.End()
+	req, err := s.read(r)
+	if err != nil {
+		s.refuse(w, err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	answer, err := s.route(ctx, req)
+	if err != nil {
+		s.refuse(w, err)
+		return
+	}
+	s.relay(w, answer)
+}
+
+// route runs r on its owner; a route that proves stale is looked up again
+// until the deadline.
+func (s *Server) route(ctx context.Context, r *dispatch.Request) (*dispatch.Answer, error) {
+	tries := 0
+	for {
+		changed := s.change()
+		answer, err := s.try(ctx, r)
+		if err == nil {
+			return answer, nil
+		}
+		var e *code.Error
+		if !errors.As(err, &e) {
+			return nil, code.NewError(code.DispatcherLost, err.Error())
+		}
+		switch {
+		case e.Code == code.StaleRoute || e.Code == code.NoOwner || e.Code == code.DispatcherBusy:
+			if !s.wait(ctx, changed) {
+				return nil, e
+			}
+		case e.Code.Outcome() == code.Unknown && tries < r.Kind.Retries && ctx.Err() == nil && replayable(r):
+			tries++
+		default:
+			return nil, e
+		}
+		if !rewind(r) {
+			return nil, e
+		}
+	}
+}
+
+// try sends r to the owner that the present snapshot names.
+func (s *Server) try(ctx context.Context, r *dispatch.Request) (*dispatch.Answer, error) {
+	v, ok := s.table.Load().Service(r.Service)
+	if !ok {
+		return nil, code.NewError(code.NoService, "service "+r.Service+" is configured no longer")
+	}
+	server, _, ok := v.Lookup(r.Hash)
+	if !ok {
+		return nil, code.NewError(code.NoOwner, "no backend server owns the key at present")
+	}
+	r.Server = server.Name
+	if server.Dispatcher == s.self {
+		return s.local.Do(ctx, r)
+	}
+	ctx, span := s.tracer.Start(ctx, "forward", trace.WithAttributes(
+		attribute.String("dispatcher", server.Dispatcher.Instance)))
+	defer span.End()
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(r.Header))
+	return s.remote.Do(ctx, server, r)
+}
+
+func (s *Server) change() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// wait waits for a newer snapshot; it returns false when the caller's time is up.
+func (s *Server) wait(ctx context.Context, changed <-chan struct{}) bool {
+	timer := s.clock.NewTimer(rerouteWait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-changed:
+	case <-timer.C:
+	}
+	return true
+}
+
+// relay passes the answer on; one that is cut off breaks the connection, so
+// that the caller can't take it for whole.
+func (s *Server) relay(w http.ResponseWriter, a *dispatch.Answer) {
+	defer a.Body.Close()
+	copyHeader(w.Header(), a.Header)
+	w.Header().Set(code.OutcomeHeader, code.Done.String())
+	if a.Length >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
+	}
+	w.WriteHeader(a.Status)
+	if _, err := io.Copy(w, a.Body); err != nil {
+		s.log.Info("answer cut off", "code", int(code.AnswerCutOff), "error", err)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Server) refuse(w http.ResponseWriter, err error) {
+	e := &code.Error{Code: code.DispatcherLost, Reason: err.Error()}
+	errors.As(err, &e)
+	w.Header().Set(code.Header, strconv.Itoa(int(e.Code)))
+	w.Header().Set(code.OutcomeHeader, e.Code.Outcome().String())
+	http.Error(w, e.Error(), e.Code.Status())
+}
--- /dev/null
+++ b/router/daemon/daemon.go
@@ -0,0 +1,229 @@
+// Package daemon wires one instance.
+//
+//	log service --RecordsRead--> +---------+ --Append-------> log service
+//	list        --ServersListed->|         | --SendGrant----> backend servers
+//	backend     --GrantAnswered->| control | --SetTable-----> caller, dispatch
+//	dispatch    --SlotsDrained-->|         | --Authorize----> dispatch
+//	timer       --Ticked-------->+---------+ --HoldSlots----> dispatch
+//
+// One goroutine runs control. Traffic reads the snapshot that SetTable
+// published and never waits for control.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bronzewind.example/core/clock"
+	"bronzewind.example/core/config"
+	"bronzewind.example/core/control"
+	"bronzewind.example/core/platform"
+	"bronzewind.example/core/record"
+	"bronzewind.example/core/route"
+	"bronzewind.example/router/caller"
+	"bronzewind.example/router/dispatch"
+	"bronzewind.example/router/peer"
+	"bronzewind.example/router/settings"
+)
+
+const (
+	tickInterval = 20 * time.Millisecond
+	listInterval = 500 * time.Millisecond
+	eventBuffer  = 1024
+	appendBuffer = 256
+	drainLimit   = 30 * time.Second
+)
+
+type (
+	// Daemon is one instance with all its roles.
+	Daemon struct {
+		settings *settings.Settings
+		self     record.Writer
+		log      *slog.Logger
+		clock    clock.Clock
+		platform *platform.Client
+		identity *peer.Identity
+		tracing  *tracing
+		grants   *http.Client // to backend servers, for grants alone
+
+		core     *control.Core // used by the control goroutine alone
+		events   chan control.Event
+		appends  chan record.Record
+		entry    *caller.Server
+		dispatch *dispatch.Set
+		client   *peer.Client
+		table    atomic.Pointer[route.Table]
+		ready    atomic.Bool
+		status   atomic.Pointer[status]
+	}
+
+	// goroutine is a part of the daemon that runs until its context ends.
+	goroutine struct {
+		name string
+		run  func(ctx context.Context) error
+	}
+)
+
+// New returns an instance that is not running yet.
+func New(s *settings.Settings, log *slog.Logger) (*Daemon, error) {
+	identity, err := peer.NewIdentity()
+	if err != nil {
+		return nil, err
+	}
+	tracing, err := newTracing(s.Trace, s.Instance)
+	if err != nil {
+		return nil, err
+	}
+	self := record.Writer{Instance: s.Instance, Incarnation: uint64(time.Now().UnixNano())}
+	d := &Daemon{
+		settings: s, self: self, clock: clock.System{},
+		log:      log.With("instance", s.Instance),
+		platform: platform.NewClient(s.Platform),
+		identity: identity, tracing: tracing,
+		core: control.NewCore(self, record.InstanceJoined{
+			Region: s.Region, FailureDomain: s.FailureDomain, Control: s.Control,
+			Forward: s.Forward, Admin: s.Admin, Fingerprint: identity.Fingerprint(),
+		}),
+		events:  make(chan control.Event, eventBuffer),
+		appends: make(chan record.Record, appendBuffer),
+		client:  peer.NewClient(identity),
+		grants:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+	}
+	d.dispatch = dispatch.NewSet(self,
+		dispatch.WithTracer(tracing.tracer),
+		dispatch.WithDrained(func(e control.SlotsDrained) { d.events <- e }))
+	d.entry = caller.NewServer(self, d.dispatch, d.client, d.log, caller.WithTracer(tracing.tracer))
+	return d, nil
+}
+
+// Run serves until ctx ends, then lets running requests finish.
+func (d *Daemon) Run(ctx context.Context) error {
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	parts := []goroutine{
+		{"control", d.runControl},
+		{"log reader", d.followLog},
+		{"log writer", d.writeLog},
+		{"list reader", d.followList},
+		{"admin", d.serveAdmin},
+		{"forward", d.serveForward},
+	}
+	ended := make(chan error, len(parts)+1)
+	for _, p := range parts {
+		go func() { ended <- wrap(p.name, p.run(run)) }()
+	}
+	entryCtx, stopEntry := context.WithCancel(run)
+	defer stopEntry()
+	go func() { ended <- wrap("callers", d.serveCallers(entryCtx)) }()
+	d.log.Info("started", "listen", d.settings.Listen, "incarnation", d.self.Incarnation)
+
+	var errs []error
+	left := len(parts) + 1
+	select {
+	case <-ctx.Done():
+		d.log.Info("draining")
+		stopEntry()
+		errs = append(errs, <-ended)
+	case err := <-ended:
+		errs = append(errs, err)
+	}
+	stop()
+	for left--; left > 0; left-- {
+		errs = append(errs, <-ended)
+	}
+	d.client.Close()
+	d.tracing.close()
+	d.log.Info("stopped")
+	return errors.Join(errs...)
+}
+
+func wrap(part string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return fmt.Errorf("%s: %w", part, err)
+}
+
+// runControl is the one goroutine that owns the control state.
+func (d *Daemon) runControl(ctx context.Context) error {
+	var grants sync.WaitGroup
+	defer grants.Wait()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		var e control.Event
+		select {
+		case <-ctx.Done():
+			return nil
+		case e = <-d.events:
+		case <-ticker.C:
+			e = control.Ticked{}
+		}
+		for _, effect := range d.core.Step(e, d.clock.Now()) {
+			d.carryOut(ctx, effect, &grants)
+		}
+		d.ready.Store(d.core.Ready())
+		d.status.Store(newStatus(d.core))
+	}
+}
+
+func (d *Daemon) carryOut(ctx context.Context, e control.Effect, grants *sync.WaitGroup) {
+	switch e := e.(type) {
+	case control.Append:
+		select {
+		case d.appends <- e.Record:
+		default:
+			d.log.Warn("append queue full", "record", e.Record.ID)
+		}
+	case control.SendGrant:
+		grants.Go(func() { d.sendGrant(ctx, e) })
+	case control.SetTable:
+		d.table.Store(e.Table)
+		d.dispatch.SetTable(e.Table)
+		d.entry.SetTable(e.Table)
+	case control.Authorize:
+		d.dispatch.Authorize(e)
+	case control.HoldSlots:
+		d.dispatch.Hold(e)
+	case control.SendMessage:
+		d.log.Debug("no control transport", "to", e.To)
+	case control.Log:
+		d.log.Info(e.Message, "detail", e.Detail)
+	}
+}
+
+func (d *Daemon) serveForward(ctx context.Context) error {
+	server := peer.NewServer(d.identity, d.dispatch, d.trusted, d.kind, d.log)
+	done := make(chan error, 1)
+	server.Serve(ctx, d.settings.Forward, done)
+	return <-done
+}
+
+// trusted reports whether a member has the certificate.
+func (d *Daemon) trusted(fingerprint []byte) bool {
+	st := d.status.Load()
+	return st != nil && st.fingerprints[string(fingerprint)]
+}
+
+func (d *Daemon) kind(service, kind string) (*config.Kind, bool) {
+	t := d.table.Load()
+	if t == nil {
+		return nil, false
+	}
+	s, ok := t.Configuration.Service(service)
+	if !ok {
+		return nil, false
+	}
+	for i := range s.Kinds {
+		if s.Kinds[i].Name == kind {
+			return &s.Kinds[i], true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/router/daemon/platform.go
@@ -0,0 +1,146 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"bronzewind.example/core/backend"
+	"bronzewind.example/core/control"
+	"bronzewind.example/core/platform"
+	"bronzewind.example/core/record"
+)
+
+const (
+	readWait      = 500 * time.Millisecond
+	readTimeout   = 2 * time.Second
+	appendTimeout = time.Second
+	grantTimeout  = 200 * time.Millisecond
+	retryPause    = 100 * time.Millisecond
+)
+
+// followLog reads the log from its oldest record on.
+func (d *Daemon) followLog(ctx context.Context) error {
+	var next uint64
+	for ctx.Err() == nil {
+		b, err := d.readLog(ctx, next)
+		if err != nil {
+			d.log.Debug("log not read", "error", err)
+			pause(ctx, retryPause)
+			continue
+		}
+		e := control.RecordsRead{First: b.First, Entries: b.Entries, CaughtUp: len(b.Entries) == 0}
+		next = b.First + uint64(len(b.Entries))
+		if !d.post(ctx, e) {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) readLog(ctx context.Context, next uint64) (platform.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return d.platform.Read(ctx, next, readWait)
+}
+
+// writeLog appends records one after the other; what fails is proposed again
+// by control once it was not read back.
+func (d *Daemon) writeLog(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case r := <-d.appends:
+			if err := d.append(ctx, r); err != nil {
+				d.log.Warn("append failed", "record", r.ID, "error", err)
+			}
+		}
+	}
+}
+
+func (d *Daemon) append(ctx context.Context, r record.Record) error {
+	data, err := record.Encode(r)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err = d.platform.Append(ctx, data)
+	return err
+}
+
+// followList reads the list of backend servers.
+func (d *Daemon) followList(ctx context.Context) error {
+	for ctx.Err() == nil {
+		rows, err := d.platform.List(ctx)
+		if err == nil && !d.post(ctx, control.ServersListed{Rows: rows}) {
+			return nil
+		}
+		pause(ctx, listInterval)
+	}
+	return nil
+}
+
+// sendGrant sends one grant and brings the answer to control.
+func (d *Daemon) sendGrant(ctx context.Context, g control.SendGrant) {
+	e := control.GrantAnswered{
+		Service: g.Grant.Service, Server: g.Grant.Server, Epoch: g.Grant.Epoch,
+		Sent: d.clock.Now(), Grant: g.Grant,
+	}
+	answer, err := d.putGrant(ctx, g)
+	e.Answer = answer
+	if err != nil {
+		e.Err = err.Error()
+	}
+	d.post(ctx, e)
+}
+
+func (d *Daemon) putGrant(ctx context.Context, g control.SendGrant) (backend.GrantAnswer, error) {
+	var a backend.GrantAnswer
+	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+	defer cancel()
+	data, err := json.Marshal(g.Grant)
+	if err != nil {
+		return a, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+g.Address+backend.GrantPath, bytes.NewReader(data))
+	if err != nil {
+		return a, err
+	}
+	resp, err := d.grants.Do(req)
+	if err != nil {
+		return a, err
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil {
+		return a, fmt.Errorf("grant answer: %w", err)
+	}
+	if a.Incarnation == 0 {
+		return a, errors.New("grant answer names no incarnation")
+	}
+	return a, nil
+}
+
+// post hands an event to control; it returns false when ctx ended first.
+func (d *Daemon) post(ctx context.Context, e control.Event) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case d.events <- e:
+		return true
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/router/dispatch/set.go
@@ -0,0 +1,137 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"bronzewind.example/core/clock"
+	"bronzewind.example/core/code"
+	"bronzewind.example/core/control"
+	"bronzewind.example/core/record"
+	"bronzewind.example/core/route"
+)
+
+type (
+	// Set holds the dispatchers of all backend servers that this instance
+	// dispatches to.
+	Set struct {
+		self      record.Writer
+		clock     clock.Clock
+		tracer    trace.Tracer
+		transport http.RoundTripper // nil means one transport for each backend server
+		drained   func(control.SlotsDrained)
+
+		table atomic.Pointer[route.Table]
+
+		mu      sync.Mutex
+		servers map[serverKey]*Dispatcher // guarded by mu
+	}
+
+	// Option changes a Set at its construction.
+	Option func(*Set)
+
+	serverKey struct{ service, server string }
+)
+
+// WithClock sets the clock; the default is the system's.
+func WithClock(c clock.Clock) Option { return func(s *Set) { s.clock = c } }
+
+// WithTracer sets the tracer of the dispatch spans; the default traces nothing.
+func WithTracer(t trace.Tracer) Option { return func(s *Set) { s.tracer = t } }
+
+// WithTransport sets the transport to backend servers, for tests.
+func WithTransport(t http.RoundTripper) Option { return func(s *Set) { s.transport = t } }
+
+// WithDrained sets what is called when held slots have no work in flight.
+func WithDrained(f func(control.SlotsDrained)) Option { return func(s *Set) { s.drained = f } }
+
+// NewSet returns the dispatchers of the instance self; it has none until
+// SetTable names some.
+func NewSet(self record.Writer, options ...Option) *Set {
+	s := &Set{
+		self:    self,
+		clock:   clock.System{},
+		tracer:  noop.NewTracerProvider().Tracer(""),
+		drained: func(control.SlotsDrained) {},
+		servers: map[serverKey]*Dispatcher{},
+	}
+	for _, o := range options {
+		o(s)
+	}
+	return s
+}
+
+// SetTable starts and stops dispatchers after the new snapshot.
+func (s *Set) SetTable(t *route.Table) {
+	s.table.Store(t)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wanted := map[serverKey]bool{}
+	for i := range t.Configuration.Services {
+		v, ok := t.Service(t.Configuration.Services[i].Name)
+		if !ok {
+			continue
+		}
+		servers := v.Servers()
+		for j := range servers {
+			if servers[j].Dispatcher != s.self {
+				continue
+			}
+			key := serverKey{service: v.Config.Name, server: servers[j].Name}
+			wanted[key] = true
+			s.update(key, v, &servers[j])
+		}
+	}
+	for key, d := range s.servers {
+		if !wanted[key] {
+			delete(s.servers, key)
+			d.close()
+		}
+	}
+}
+
+// update creates the dispatcher of key or gives it the new snapshot; s.mu is held.
+func (s *Set) update(key serverKey, v *route.Service, server *route.Server) {
+	d, ok := s.servers[key]
+	if !ok {
+		d = newDispatcher(s, v, server)
+		s.servers[key] = d
+	}
+	d.setRoute(v, server)
+}
+
+// Authorize passes a grant on to the dispatcher that it is for.
+func (s *Set) Authorize(a control.Authorize) {
+	if d, ok := s.dispatcher(a.Service, a.Server); ok {
+		d.authorize(a)
+	}
+}
+
+// Hold stops new work of slots; the drained option is called when no request
+// of them runs any more.
+func (s *Set) Hold(h control.HoldSlots) {
+	if d, ok := s.dispatcher(h.Service, h.Server); ok {
+		d.hold(h)
+	}
+}
+
+// Do runs r on its backend server, or says why not by a *code.Error.
+func (s *Set) Do(ctx context.Context, r *Request) (*Answer, error) {
+	d, ok := s.dispatcher(r.Service, r.Server)
+	if !ok {
+		return nil, code.NewError(code.StaleRoute, "this instance does not dispatch to "+r.Server)
+	}
+	return d.do(ctx, r)
+}
+
+func (s *Set) dispatcher(service, server string) (*Dispatcher, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d, ok := s.servers[serverKey{service: service, server: server}]
+	return d, ok
+}
--- /dev/null
+++ b/router/settings/settings.go
@@ -0,0 +1,111 @@
+// Package settings reads what one process needs to know of itself.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+
+	"github.com/goccy/go-yaml"
+)
+
+// Settings are the settings of one instance. Addresses are IP numbers with a
+// port.
+type Settings struct {
+	Instance      string `yaml:"instance"` // unique in the fleet; never empty
+	Region        string `yaml:"region"`
+	FailureDomain string `yaml:"failure-domain"`
+	Listen        string `yaml:"listen"`     // HTTP for callers
+	Admin         string `yaml:"admin"`      // HTTP for probes and metrics
+	Control       string `yaml:"control"`    // UDP between instances
+	Forward       string `yaml:"forward"`    // QUIC between instances
+	Platform      string `yaml:"platform"`   // URL of log service and list
+	LogFormat     string `yaml:"log-format"` // text or json
+	Trace         string `yaml:"trace"`      // off, stdout, or the URL of an OTLP collector
+}
+
+// Option changes settings after they were read, for flags.
+type Option func(*Settings)
+
+// Load reads the settings in file, applies the options, and checks the result.
+func Load(file string, options ...Option) (*Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	s, err := Parse(data, options...)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return s, nil
+}
+
+// Parse reads settings from YAML, applies the options, and checks the result.
+func Parse(data []byte, options ...Option) (*Settings, error) {
+	s := Settings{LogFormat: "text", Trace: "off"}
+	if err := yaml.UnmarshalWithOptions(data, &s, yaml.Strict()); err != nil {
+		return nil, err
+	}
+	for _, o := range options {
+		o(&s)
+	}
+	return &s, s.check()
+}
+
+func (s *Settings) check() error {
+	var errs []error
+	for _, f := range []struct{ name, value string }{
+		{"instance", s.Instance}, {"region", s.Region}, {"failure-domain", s.FailureDomain},
+	} {
+		if f.value == "" {
+			errs = append(errs, fmt.Errorf("%s: is missing; add a line %q", f.name, f.name+": NAME"))
+		}
+	}
+	for _, f := range []struct{ name, value string }{
+		{"listen", s.Listen}, {"admin", s.Admin}, {"control", s.Control}, {"forward", s.Forward},
+	} {
+		if err := checkAddress(f.value); err != nil {
+			errs = append(errs, fmt.Errorf("%s: %q is no address (%w); write an IP number and a port such as 127.0.0.1:8101", f.name, f.value, err))
+		}
+	}
+	if u, err := url.Parse(s.Platform); err != nil || u.Host == "" {
+		errs = append(errs, fmt.Errorf("platform: %q is no URL; write for example http://127.0.0.1:8000", s.Platform))
+	}
+	if s.LogFormat != "text" && s.LogFormat != "json" {
+		errs = append(errs, fmt.Errorf("log-format: is %q; use text or json", s.LogFormat))
+	}
+	return errors.Join(errs...)
+}
+
+func checkAddress(a string) error {
+	host, _, err := net.SplitHostPort(a)
+	if err != nil {
+		return err
+	}
+	if net.ParseIP(host) == nil {
+		return errors.New("host is not an IP number")
+	}
+	return nil
+}
+
+// Overridable returns the names of the settings that a flag may override.
+func Overridable() []string {
+	return []string{"instance", "region", "failure-domain", "listen", "admin", "control", "forward", "platform", "log-format", "trace"}
+}
+
+// With returns the option that sets the field called name to value; an unknown
+// name changes nothing.
+func With(name, value string) Option {
+	return func(s *Settings) {
+		fields := map[string]*string{
+			"instance": &s.Instance, "region": &s.Region, "failure-domain": &s.FailureDomain,
+			"listen": &s.Listen, "admin": &s.Admin, "control": &s.Control, "forward": &s.Forward,
+			"platform": &s.Platform, "log-format": &s.LogFormat, "trace": &s.Trace,
+		}
+		if f, ok := fields[name]; ok {
+			*f = value
+		}
+	}
+}
