--- /dev/null
+++ b/core/control/fleet_test.go
@@ -0,0 +1,402 @@
+package control_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"bronzewind.example/core/config"
+	"bronzewind.example/core/control"
+	"bronzewind.example/core/platform"
+	"bronzewind.example/core/record"
+	"bronzewind.example/core/route"
+)
+
+const (
+	serviceName   = "proofs"
+	slotCount     = 16
+	instanceCount = 4
+	serverCount   = 3
+
+	tickInterval  = 50 * time.Millisecond
+	pollInterval  = 40 * time.Millisecond
+	listInterval  = 500 * time.Millisecond
+	probeInterval = 30 * time.Millisecond
+	grantTimeout  = 200 * time.Millisecond
+	probeTimeout  = 400 * time.Millisecond
+	driftPerMil   = 10
+)
+
+type (
+	// fleet runs several cores against fakes in virtual time. All that happens
+	// is a function of the seed.
+	fleet struct {
+		random    *rand.Rand
+		now       time.Duration // true time since the start
+		queue     callQueue
+		calls     int
+		probes    int
+		moves     int
+		calmSince time.Duration // end of the last fault
+		log       *fakeLog
+		listed    []platform.Listed
+		instances []*instance
+		servers   []*server
+		cut       map[link]bool
+		noise     noise
+		mutant    mutant
+		history   *history
+		faults    []string
+		lines     []string
+		verbose   bool
+	}
+
+	// link is one direction between two named processes.
+	link struct{ from, to string }
+
+	// noise makes messages lost, doubled or late, as shares of all.
+	noise struct{ lost, doubled, late float64 }
+
+	// call is work due at a time; equal times keep their order.
+	call struct {
+		at    time.Duration
+		order int
+		run   func()
+	}
+
+	callQueue []call
+
+	// instance is one core with its clock, inbox and dispatchers.
+	instance struct {
+		fleet       *fleet
+		name        string
+		incarnation uint64
+		core        *control.Core
+		up          bool
+		paused      bool
+		inbox       []control.Event
+		rate        float64 // of its clock, in local seconds per second
+		table       *route.Table
+		dispatchers map[string]*dispatcher // by backend server
+		idle        time.Duration          // when an empty read was last posted
+		observed    uint64                 // next offset of the state that was last checked
+	}
+)
+
+// Len implements heap.Interface.
+func (q callQueue) Len() int { return len(q) }
+
+// Less implements heap.Interface.
+func (q callQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+
+// Swap implements heap.Interface.
+func (q callQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *callQueue) Push(x any) { *q = append(*q, x.(call)) }
+
+// Pop implements heap.Interface.
+func (q *callQueue) Pop() any {
+	old := *q
+	c := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return c
+}
+
+func newFleet(seed uint64, m mutant) *fleet {
+	f := &fleet{
+		random: rand.New(rand.NewPCG(seed, 0)), cut: map[link]bool{}, mutant: m,
+		history: newHistory(),
+	}
+	f.log = newFakeLog(f)
+	f.publish("setup", 0)
+	for i := range serverCount {
+		s := &server{fleet: f, name: fmt.Sprintf("server-%d", i), rate: f.drawRate()}
+		s.start()
+		f.servers = append(f.servers, s)
+		f.listed = append(f.listed, platform.Listed{
+			Name: s.name, Service: serviceName, Address: s.name, Region: "east", FailureDomain: domain(i),
+		})
+	}
+	for i := range instanceCount {
+		n := &instance{fleet: f, name: fmt.Sprintf("instance-%d", i)}
+		f.instances = append(f.instances, n)
+		n.start()
+	}
+	return f
+}
+
+func domain(i int) string { return fmt.Sprintf("east-%d", i%2) }
+
+// drawRate returns the rate of a clock within the bound of drift.
+func (f *fleet) drawRate() float64 {
+	return 1 + driftPerMil/1000.0*(2*f.random.Float64()-1)
+}
+
+// drawTime returns a time from low to high.
+func (f *fleet) drawTime(low, high time.Duration) time.Duration {
+	return low + time.Duration(f.random.Int64N(int64(high-low)+1))
+}
+
+func (f *fleet) after(d time.Duration, run func()) {
+	f.calls++
+	heap.Push(&f.queue, call{at: f.now + d, order: f.calls, run: run})
+}
+
+func (f *fleet) runUntil(end time.Duration) {
+	for len(f.queue) > 0 && f.queue[0].at <= end {
+		c := heap.Pop(&f.queue).(call)
+		f.now = c.at
+		c.run()
+	}
+	f.now = end
+}
+
+func (f *fleet) tracef(format string, args ...any) {
+	if f.verbose {
+		f.lines = append(f.lines, fmt.Sprintf("%9.3f ", f.now.Seconds())+fmt.Sprintf(format, args...))
+	}
+}
+
+// send delivers a message from one process to another, or loses it.
+func (f *fleet) send(from, to string, deliver func()) {
+	if f.cut[link{from, to}] || f.random.Float64() < f.noise.lost {
+		return
+	}
+	copies := 1
+	if f.random.Float64() < f.noise.doubled {
+		copies = 2
+	}
+	for range copies {
+		d := f.drawTime(time.Millisecond, 3*time.Millisecond)
+		if f.random.Float64() < f.noise.late {
+			d = f.drawTime(0, 3*time.Second)
+		}
+		f.after(d, deliver)
+	}
+}
+
+// publish appends a configuration that builds on version base.
+func (f *fleet) publish(author string, base uint64) {
+	c := newConfiguration(base+1, author)
+	document, err := c.Encode()
+	if err != nil {
+		panic(err)
+	}
+	w := record.Writer{Instance: "operator/" + author, Incarnation: base + 1}
+	f.log.append(w.Instance, record.Record{
+		ID: w.String(), Writer: w,
+		Body: record.ConfigurationPublished{Base: base, Document: document, Author: author},
+	})
+}
+
+func newConfiguration(version uint64, fleetName string) config.Configuration {
+	ms := func(n int) config.Duration { return config.Duration(time.Duration(n) * time.Millisecond) }
+	return config.Configuration{
+		Version: version, Fleet: fleetName,
+		Regions: []config.Region{{Name: "east", FailureDomains: []string{domain(0), domain(1)}}},
+		Timing: config.Timing{
+			Lease: ms(500), Heartbeat: ms(100), Grant: ms(400), GrantRenewal: ms(100),
+			DrainLimit: ms(300), DriftPerMil: driftPerMil,
+		},
+		Services: []config.Service{{
+			Name: serviceName, PathPrefix: "/proofs/", Key: config.Key{From: config.KeyFromPath},
+			Slots: slotCount, ServerSlots: 6, Connections: 100, ChecksGrants: true,
+			Kinds: []config.Kind{{
+				Name: "lookup", Method: "GET", Worth: 1, Target: ms(100), Patience: ms(500),
+				ServiceTime: ms(10), QueueLimit: 100,
+			}},
+		}},
+	}
+}
+
+// start begins a new run of the instance; it keeps nothing of an earlier one.
+func (n *instance) start() {
+	n.incarnation++
+	self := record.Writer{Instance: n.name, Incarnation: n.incarnation}
+	n.core = control.NewCore(self, record.InstanceJoined{Region: "east", FailureDomain: domain(n.index())})
+	n.up, n.paused, n.inbox, n.table, n.idle = true, false, nil, nil, 0
+	n.dispatchers = map[string]*dispatcher{}
+	n.rate = n.fleet.drawRate()
+	n.repeat(tickInterval, func() { n.post(control.Ticked{}) })
+	n.repeat(pollInterval, n.readLog)
+	n.repeat(probeInterval, n.probe)
+	n.repeat(listInterval, func() {
+		rows := n.fleet.listed
+		n.fleet.send("list", n.name, n.inRun(func() { n.post(control.ServersListed{Rows: rows}) }))
+	})
+}
+
+func (n *instance) index() int { return int(n.name[len(n.name)-1] - '0') }
+
+func (n *instance) clock() time.Time {
+	return time.Unix(int64(1000*(n.index()+1)), 0).Add(time.Duration(float64(n.fleet.now) * n.rate))
+}
+
+// inRun makes run do nothing once the present run of the instance has ended.
+func (n *instance) inRun(run func()) func() {
+	incarnation := n.incarnation
+	return func() {
+		if n.up && n.incarnation == incarnation {
+			run()
+		}
+	}
+}
+
+// repeat calls run at each interval of the present run but in pauses.
+func (n *instance) repeat(interval time.Duration, run func()) {
+	var again func()
+	again = n.inRun(func() {
+		if !n.paused {
+			run()
+		}
+		n.fleet.after(interval, again)
+	})
+	n.fleet.after(n.fleet.drawTime(0, interval), again)
+}
+
+// post steps the core with e, at the end of a pause if there is one.
+func (n *instance) post(e control.Event) {
+	if n.paused {
+		n.inbox = append(n.inbox, e)
+		return
+	}
+	for _, effect := range n.core.Step(e, n.clock()) {
+		n.carryOut(effect)
+	}
+	n.fleet.history.observe(n)
+}
+
+func (n *instance) resume() {
+	n.paused = false
+	inbox := n.inbox
+	n.inbox = nil
+	for _, e := range inbox {
+		n.post(e)
+	}
+}
+
+func (n *instance) lose() { n.up = false }
+
+func (n *instance) carryOut(e control.Effect) {
+	f := n.fleet
+	switch e := e.(type) {
+	case control.Append:
+		f.history.proposed(n, e.Record)
+		f.log.append(n.name, e.Record)
+		if f.mutant == withoutReadBack {
+			n.foldUnread(e.Record)
+		}
+	case control.SendGrant:
+		n.sendGrant(e)
+	case control.SetTable:
+		n.table = e.Table
+		n.closeDispatchers()
+	case control.Authorize:
+		n.authorize(e)
+	case control.HoldSlots:
+		n.hold(e)
+	case control.SendMessage:
+		n.sendMessage(e)
+	case control.Log:
+		f.tracef("%s: %s %s", n.name, e.Message, e.Detail)
+	}
+}
+
+// foldUnread makes the core take its own record for read back.
+func (n *instance) foldUnread(r record.Record) {
+	data, err := record.Encode(r)
+	if err != nil {
+		panic(err)
+	}
+	n.fleet.after(0, n.inRun(func() {
+		n.post(control.RecordsRead{First: n.core.State().Next, Entries: [][]byte{data}})
+	}))
+}
+
+func (n *instance) sendMessage(e control.SendMessage) {
+	from := record.Writer{Instance: n.name, Incarnation: n.incarnation}
+	for _, to := range n.fleet.instances {
+		if to.name == e.To.Instance && to.incarnation == e.To.Incarnation {
+			n.fleet.send(n.name, to.name, to.inRun(func() {
+				to.post(control.MessageReceived{From: from, Message: e.Message})
+			}))
+		}
+	}
+}
+
+// sendGrant sends a grant as the daemon does: the answer or the timeout
+// reaches the core, and either may win after a pause.
+func (n *instance) sendGrant(e control.SendGrant) {
+	f := n.fleet
+	event := control.GrantAnswered{
+		Service: e.Grant.Service, Server: e.Grant.Server, Epoch: e.Grant.Epoch, Sent: n.clock(), Grant: e.Grant,
+	}
+	answered := false
+	s := f.serverAt(e.Address)
+	f.send(n.name, s.name, func() {
+		s.whenAwake(func() {
+			answer := s.answerGrant(e.Grant)
+			f.send(s.name, n.name, n.inRun(func() {
+				if !answered {
+					answered = true
+					event.Answer = answer
+					n.post(event)
+				}
+			}))
+		})
+	})
+	f.after(grantTimeout, n.inRun(func() {
+		if !answered && !n.paused {
+			answered = true
+			event.Err = "timeout"
+			n.post(event)
+		}
+	}))
+}
+
+// readLog reads the log from the fold's next offset on.
+func (n *instance) readLog() {
+	var (
+		first   uint64
+		entries [][]byte
+	)
+	deliver := n.inRun(func() { n.recordsRead(first, entries) })
+	upTo := n.fleet.now + runLength
+	if n.fleet.mutant == withStaleRestart && n.incarnation > 1 {
+		upTo = settled
+	}
+	n.fleet.log.read(n.name, n.core.State().Next, upTo, func(at uint64, read [][]byte) {
+		first, entries = at, n.heard(read)
+		deliver()
+	})
+}
+
+// heard returns the entries that reach the core: all, but in a mutant.
+func (n *instance) heard(entries [][]byte) [][]byte {
+	if n.fleet.mutant != withDeafInstance || n.index() != 0 || n.fleet.now < settled {
+		return entries
+	}
+	out := slices.Clone(entries)
+	for i, data := range out {
+		if r, err := record.Decode(data); err == nil && strings.HasPrefix(r.Writer.Instance, "operator/") {
+			out[i] = []byte("damaged")
+		}
+	}
+	return out
+}
+
+func (n *instance) recordsRead(first uint64, entries [][]byte) {
+	if len(entries) == 0 && n.idle != 0 && n.fleet.now-n.idle < listInterval {
+		return
+	}
+	if len(entries) == 0 {
+		n.idle = n.fleet.now
+	}
+	n.post(control.RecordsRead{First: first, Entries: entries, CaughtUp: len(entries) == 0})
+}
--- /dev/null
+++ b/core/control/proof_test.go
@@ -0,0 +1,289 @@
+package control_test
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bronzewind.example/core/keyspace"
+	"bronzewind.example/core/record"
+)
+
+const (
+	settled          = 2 * time.Second  // when all slots are served after a start
+	lastFault        = 5 * time.Second  // the latest start of a fault
+	runLength        = 18 * time.Second // leaves more than 8 s after the last fault
+	hiddenExtension  = time.Second
+	forgottenRecords = 3
+)
+
+// What is wrong with a mutant, so that a check is seen to fail.
+const (
+	correct          mutant = iota
+	withoutFence            // backend servers take grants of old epochs
+	withoutLapseWait        // grants last longer than their sender counts
+	withoutReadBack         // a record counts as accepted once it is sent
+	withForgetfulLog        // the log loses its newest records
+	withStaleRestart        // a restarted instance reads an old copy of the log
+	withDeafInstance        // an instance misses later configurations
+	withoutTakeover         // no loss of an instance reaches the log
+)
+
+type (
+	mutant int
+
+	// fault brings something about and returns what ends it.
+	fault struct {
+		name  string
+		begin func(f *fleet) (end func())
+	}
+)
+
+var (
+	seedCount = flag.Int("seeds", 1000, "number of runs")
+	firstSeed = flag.Uint64("first-seed", 1, "seed of the first run")
+	showTrace = flag.Bool("trace", false, "print the events of runs that fail")
+)
+
+var faults = []fault{
+	{"partition", func(f *fleet) func() { return f.isolate(f.anyInstance().name, true, true) }},
+	{"one-way partition in", func(f *fleet) func() { return f.isolate(f.anyInstance().name, true, false) }},
+	{"one-way partition out", func(f *fleet) func() { return f.isolate(f.anyInstance().name, false, true) }},
+	{"server partition", func(f *fleet) func() { return f.isolate(f.anyServer().name, true, true) }},
+	{"server answers lost", func(f *fleet) func() { return f.isolate(f.anyServer().name, false, true) }},
+	{"log partition", func(f *fleet) func() { n := f.anyInstance().name; return f.cutLinks(link{n, "log"}, link{"log", n}) }},
+	{"pause", beginPause},
+	{"restart", func(f *fleet) func() { n := f.anyInstance(); n.lose(); return n.start }},
+	{"loss", beginLoss},
+	{"log down", func(f *fleet) func() { f.log.down = true; return func() { f.log.down = false } }},
+	{"log slow", func(f *fleet) func() { f.log.slow = true; return func() { f.log.slow = false } }},
+	{"log answers lost", func(f *fleet) func() {
+		f.log.lost, f.log.doubled = 0.4, 0.4
+		return func() { f.log.lost, f.log.doubled = 0, 0 }
+	}},
+	{"noise", func(f *fleet) func() { f.noise = noise{0.1, 0.1, 0.1}; return func() { f.noise = noise{} } }},
+	{"server freeze", func(f *fleet) func() { s := f.anyServer(); s.frozen = true; return s.thaw }},
+	{"server restart", func(f *fleet) func() { s := f.anyServer(); s.lose(); return s.start }},
+	{"list lag", func(f *fleet) func() { return f.cutLinks(f.linksFrom("list")...) }},
+}
+
+func (f *fleet) anyInstance() *instance { return f.instances[f.random.IntN(len(f.instances))] }
+
+func (f *fleet) anyServer() *server { return f.servers[f.random.IntN(len(f.servers))] }
+
+func beginPause(f *fleet) func() {
+	n := f.anyInstance()
+	n.paused = true
+	incarnation := n.incarnation
+	return func() {
+		if n.incarnation == incarnation && n.paused {
+			n.resume()
+		}
+	}
+}
+
+// beginLoss loses an instance for good, but never the last two.
+func beginLoss(f *fleet) func() {
+	n := f.anyInstance()
+	up := 0
+	for _, o := range f.instances {
+		if o.up {
+			up++
+		}
+	}
+	if up > 2 {
+		n.lose()
+	}
+	return func() {}
+}
+
+// isolate cuts the process called name off from all others, in the directions
+// given.
+func (f *fleet) isolate(name string, in, out bool) func() {
+	var links []link
+	if in {
+		for _, from := range f.names() {
+			links = append(links, link{from, name})
+		}
+	}
+	if out {
+		links = append(links, f.linksFrom(name)...)
+	}
+	return f.cutLinks(links...)
+}
+
+func (f *fleet) linksFrom(name string) []link {
+	var links []link
+	for _, to := range f.names() {
+		links = append(links, link{name, to})
+	}
+	return links
+}
+
+func (f *fleet) names() []string {
+	names := []string{"log", "list"}
+	for _, n := range f.instances {
+		names = append(names, n.name)
+	}
+	for _, s := range f.servers {
+		names = append(names, s.name)
+	}
+	return names
+}
+
+func (f *fleet) cutLinks(links ...link) func() {
+	for _, l := range links {
+		f.cut[l] = true
+	}
+	return func() {
+		for _, l := range links {
+			delete(f.cut, l)
+		}
+	}
+}
+
+// schedule plans the forced faults, further drawn ones up to count, moves of
+// slots, and racing operators.
+func (f *fleet) schedule(count int, forced ...string) {
+	for i := range count {
+		chosen := faults[f.random.IntN(len(faults))]
+		if i < len(forced) {
+			chosen = faultNamed(forced[i])
+		}
+		at, length := f.drawTime(settled, lastFault), f.drawTime(100*time.Millisecond, 4*time.Second)
+		f.faults = append(f.faults, fmt.Sprintf("%s from %v for %v", chosen.name, at, length))
+		f.after(at, func() {
+			f.tracef("begin %s", chosen.name)
+			end := chosen.begin(f)
+			f.after(length, func() {
+				f.tracef("end %s", chosen.name)
+				f.calmSince = f.now
+				end()
+			})
+		})
+	}
+	for at := settled; at < 2*lastFault; at += f.drawTime(100*time.Millisecond, time.Second) {
+		f.after(at, f.move)
+	}
+	for range 2 {
+		at := f.drawTime(time.Second, 2*lastFault)
+		for _, author := range []string{"anna", "boris"} {
+			f.after(at+f.drawTime(0, 10*time.Millisecond), func() { f.publish(author, f.log.truth.Version()) })
+		}
+	}
+}
+
+// move makes the coordinator move some slots to a backend server that is up.
+func (f *fleet) move() {
+	v := f.log.truth.Services[serviceName]
+	target := f.anyServer().name
+	if f.log.down || !v.Servers[target].Up {
+		return
+	}
+	first := f.random.IntN(slotCount)
+	last := min(slotCount-1, first+f.random.IntN(4))
+	f.moves++
+	r := record.Record{ID: fmt.Sprintf("move/%d", f.moves), Writer: v.Coordinator, Body: record.SlotsAssigned{
+		Service: serviceName, Term: v.Term, Base: v.Version, Ranges: []record.SlotRange{{First: keyspace.Slot(first), Last: keyspace.Slot(last), Server: target}},
+	}}
+	data, err := record.Encode(r)
+	if err != nil {
+		panic(err)
+	}
+	f.log.add(data)
+}
+
+// run plays the history of a seed: odd seeds draw one fault, even ones two.
+func run(seed uint64, m mutant, verbose bool, forced ...string) *fleet {
+	f := newFleet(seed, m)
+	f.verbose = verbose
+	f.schedule(2-int(seed%2), forced...)
+	if m == withForgetfulLog {
+		f.after(f.drawTime(settled, lastFault), f.log.forget)
+	}
+	f.runUntil(runLength)
+	f.history.check(f)
+	return f
+}
+
+func faultNamed(name string) fault {
+	return faults[slices.IndexFunc(faults, func(c fault) bool { return c.name == name })]
+}
+
+func (f *fleet) report() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "faults: %s\n", strings.Join(f.faults, "; "))
+	for p, detail := range f.history.violations {
+		fmt.Fprintf(&b, "violated: %s: %.2000s\n", p, detail)
+	}
+	b.WriteString(strings.Join(f.lines, "\n"))
+	return b.String()
+}
+
+// TestHistories checks every promise over many short runs. Run one seed alone
+// by -first-seed N -seeds 1 -trace.
+func TestHistories(t *testing.T) {
+	const shards = 10
+	for shard := range shards {
+		t.Run(fmt.Sprintf("shard %d", shard), func(t *testing.T) {
+			t.Parallel()
+			for i := shard; i < *seedCount; i += shards {
+				seed := *firstSeed + uint64(i)
+				if f := run(seed, correct, *showTrace); len(f.history.violations) > 0 {
+					t.Errorf("seed %d\n%s", seed, f.report())
+				}
+			}
+		})
+	}
+}
+
+// TestMutants shows that each check finds what it is for.
+func TestMutants(t *testing.T) {
+	const (
+		runs  = 40
+		found = 4 // least runs that must find the mutant
+	)
+	for _, c := range []struct {
+		name   string
+		mutant mutant
+		want   promise
+		forced []string
+	}{
+		{"without fence", withoutFence, soleOwner, []string{"noise"}},
+		{"without lapse wait", withoutLapseWait, soleOwner, []string{"server partition"}},
+		{"without read-back", withoutReadBack, soleOwner, []string{"log answers lost"}},
+		{"forgetful log", withForgetfulLog, durable, nil},
+		{"stale restart", withStaleRestart, monotone, []string{"restart"}},
+		{"deaf instance", withDeafInstance, inForce, nil},
+		{"without takeover", withoutTakeover, servedAgain, []string{"loss"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			n := 0
+			for seed := range uint64(runs) {
+				if _, ok := run(seed, c.mutant, false, c.forced...).history.violations[c.want]; ok {
+					n++
+				}
+			}
+			t.Logf("%q is violated in %d of %d runs", c.want, n, runs)
+			if n < found {
+				t.Errorf("found in %d runs, want at least %d", n, found)
+			}
+		})
+	}
+}
+
+// TestSameSeedSameHistory checks that a verdict is a function of its seed.
+func TestSameSeedSameHistory(t *testing.T) {
+	for seed := range uint64(8) {
+		want, got := run(seed, correct, false), run(seed, correct, false)
+		if diff := cmp.Diff(want.digest(), got.digest()); diff != "" {
+			t.Errorf("seed %d (-first +second):\n%s", seed, diff)
+		}
+	}
+}
