--- a/core/control/control.go
+++ b/core/control/control.go
@@ -64,6 +64,13 @@
 	// Ticked lets time pass.
 	Ticked struct{}
 
+	// LeaveRequested starts a graceful leave: the roles are handed over.
+	LeaveRequested struct{}
+
+	// TrafficStopped says, after LeaveRequested, that the instance serves no
+	// request any more, so that its membership can end.
+	TrafficStopped struct{}
+
 	// Append asks for a record in the log; reading it back ends the wait.
 	Append struct{ Record record.Record }
 
@@ -71,6 +78,7 @@
 	SendGrant struct {
 		Address string
 		Grant   backend.Grant
+		Checks  bool // the server checks grants; one that doesn't is only asked whether it answers
 	}
 
 	// SetTable replaces the snapshot that traffic reads.
@@ -101,6 +109,10 @@
 		Message Message
 	}
 
+	// RunEnded says that the membership of this run has ended; the core does
+	// nothing any more. A new run needs a core and an incarnation of its own.
+	RunEnded struct{}
+
 	// Log asks for a log line.
 	Log struct {
 		Message string
@@ -117,6 +129,26 @@
 		pending  map[string]pending // by subject; at most one record each
 		grants   map[serverKey]*grantState
 		sequence uint64
+
+		began        time.Time // of the first step
+		stepped      time.Time // the last step
+		logHeard     time.Time // when the log last answered a reader
+		longestLease time.Duration // of all configurations folded
+		membersRead  bool      // members changed since watchMembers
+		admitted     bool      // the run has been a member
+		over         bool      // the run's membership ended
+		lease        leaseState
+		held         bool                       // the lease held in the last step
+		refused      []record.Writer            // own witnesses that voted the run lost
+		watches      map[record.Writer]*watch   // members that this instance witnesses
+		watched      []record.Writer            // the keys of watches in order of name
+		unwitnessed  []record.Writer            // other members without witnesses, in order of name
+		rank         int                        // place in the order of those that write losses
+		logLeases    map[record.Writer]logLease // of every member
+		ended        map[record.Writer]time.Time // when an end of membership was folded
+		vacant       map[string]time.Time       // since when a service wants another coordinator
+		named        time.Time                  // when witnesses were last looked over
+		leave        leavePhase
 	}
 
 	serverKey struct{ service, server string }
@@ -124,7 +156,8 @@
 	// pending is a record whose fate is not known yet.
 	pending struct {
 		record record.Record
-		sent   time.Time
+		made   time.Time // first append
+		sent   time.Time // last append
 	}
 )
 
@@ -134,6 +167,8 @@
 func (SlotsDrained) event()    {}
 func (MessageReceived) event() {}
 func (Ticked) event()          {}
+func (LeaveRequested) event()  {}
+func (TrafficStopped) event()  {}
 
 func (Append) effect()      {}
 func (SendGrant) effect()   {}
@@ -141,6 +176,7 @@
 func (Authorize) effect()   {}
 func (HoldSlots) effect()   {}
 func (SendMessage) effect() {}
+func (RunEnded) effect()    {}
 func (Log) effect()         {}
 
 // NewCore returns the control state of the instance self before any event.
@@ -151,15 +187,25 @@
 		state:   state.New(),
 		pending: map[string]pending{},
 		grants:  map[serverKey]*grantState{},
+
+		lease:     newLeaseState(),
+		watches:   map[record.Writer]*watch{},
+		logLeases: map[record.Writer]logLease{},
+		ended:     map[record.Writer]time.Time{},
+		vacant:    map[string]time.Time{},
 	}
 }
 
 // Step takes one event and returns what is to be done, in order.
 func (c *Core) Step(e Event, now time.Time) []Effect {
+	if c.over {
+		return nil
+	}
+	c.begin(now)
 	var out []Effect
 	switch e := e.(type) {
 	case RecordsRead:
-		out = c.read(e)
+		out = c.read(e, now)
 	case ServersListed:
 		c.listed = e.Rows
 	case GrantAnswered:
@@ -168,11 +214,34 @@
 		out = c.drained(e, now)
 	case MessageReceived:
 		out = c.received(e, now)
+	case LeaveRequested:
+		c.leave = handingOver
+	case TrafficStopped:
+		c.leave = trafficStopped
 	case Ticked:
 	}
+	if c.admitted && !c.state.IsMember(c.self) {
+		c.over = true
+		return append(out, RunEnded{})
+	}
 	return append(out, c.decide(now)...)
 }
 
+// begin takes note of the time and of a gap since the last step, in which the
+// instance may have been paused.
+func (c *Core) begin(now time.Time) {
+	if c.began.IsZero() {
+		c.began, c.stepped = now, now
+	}
+	if now.Sub(c.stepped) > c.longestLease/2 {
+		c.graceAfterGap(now)
+	}
+	c.stepped = now
+}
+
+// Self returns the run that the core decides for.
+func (c *Core) Self() record.Writer { return c.self }
+
 // State returns the fold for queries; it is not to be changed.
 func (c *Core) State() *state.State { return c.state }
 
@@ -190,6 +259,14 @@
 	if c.state.Configuration == nil || !c.state.IsMember(c.self) {
 		return out
 	}
+	out = append(out, c.decideLease(now)...)
+	out = append(out, c.decideVotes(now)...)
+	out = append(out, c.decideLogLosses(now)...)
+	if !c.holdsLease(now) {
+		return out
+	}
+	out = append(out, c.decideWitnesses(now)...)
+	out = append(out, c.decideLeave(now)...)
 	for i := range c.state.Configuration.Services {
 		out = append(out, c.decideService(&c.state.Configuration.Services[i], now)...)
 	}
@@ -197,11 +274,20 @@
 }
 
 // read folds entries and publishes the new snapshot.
-func (c *Core) read(e RecordsRead) []Effect {
+func (c *Core) read(e RecordsRead, now time.Time) []Effect {
+	if now.Sub(c.logHeard) > logSilence {
+		c.membersRead = true
+		clear(c.logLeases) // what came in the silence is still to be read
+	}
+	c.logHeard = now
 	var out []Effect
 	for i, data := range e.Entries {
 		out = append(out, c.fold(e.First+uint64(i), data)...)
 	}
+	if c.membersRead {
+		c.membersRead = false
+		c.watchMembers(now)
+	}
 	c.caughtUp = c.caughtUp || e.CaughtUp
 	if len(e.Entries) == 0 {
 		return out
@@ -228,11 +314,28 @@
 		}
 	}
 	if verdict == state.Accepted {
+		c.accepted(r)
 		return nil
 	}
 	return []Effect{Log{Message: "record not accepted", Detail: r.ID + " " + verdict.String()}}
 }
 
+// accepted takes note of what a record changed in membership and timing.
+func (c *Core) accepted(r record.Record) {
+	switch r.Body.(type) {
+	case record.ConfigurationPublished:
+		c.longestLease = max(c.longestLease, c.timing().Lease.Std())
+	case record.InstanceJoined, record.LeaseRenewed:
+		if r.Writer == c.self {
+			c.admitted = true
+			c.renewalRead(r.ID)
+		}
+		c.membersRead = true
+	case record.InstanceLeft, record.InstanceLost, record.WitnessesNamed, record.InstanceLeaving:
+		c.membersRead = true
+	}
+}
+
 // propose appends body about subject, unless an earlier record about it is
 // still on its way; that one is sent again under its own ID after a time.
 func (c *Core) propose(subject string, body record.Body, now time.Time) []Effect {
@@ -240,11 +343,11 @@
 		if now.Sub(p.sent) < appendRetry {
 			return nil
 		}
-		c.pending[subject] = pending{record: p.record, sent: now}
+		c.pending[subject] = pending{record: p.record, made: p.made, sent: now}
 		return []Effect{Append{Record: p.record}}
 	}
 	c.sequence++
 	r := record.Record{ID: fmt.Sprintf("%s/%d", c.self, c.sequence), Writer: c.self, Body: body}
-	c.pending[subject] = pending{record: r, sent: now}
+	c.pending[subject] = pending{record: r, made: now, sent: now}
 	return []Effect{Append{Record: r}}
 }
--- a/core/control/coordinator.go
+++ b/core/control/coordinator.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -14,13 +15,10 @@
 // it out when the instance holds it.
 func (c *Core) decideService(conf *config.Service, now time.Time) []Effect {
 	v := c.state.Services[conf.Name]
-	if !c.state.IsMember(v.Coordinator) {
-		if c.state.MemberNames()[0] != c.self.Instance {
-			return nil
-		}
-		return c.propose("coordinator/"+v.Name, record.CoordinatorClaimed{Service: v.Name, Term: v.Term + 1}, now)
+	if out := c.decideClaim(v, now); len(out) > 0 || v.Coordinator != c.self {
+		return out
 	}
-	if v.Coordinator != c.self {
+	if !c.state.IsMember(v.Coordinator) {
 		return nil
 	}
 	if rows := c.misplaced(v); len(rows) > 0 {
@@ -49,6 +47,8 @@
 		if !c.state.IsMember(row.Dispatcher) {
 			row.Dispatcher = c.pickDispatcher(l.Region, l.FailureDomain, load)
 			load[row.Dispatcher.Instance]++
+		} else if c.state.Members[row.Dispatcher.Instance].Leaving {
+			row.Next = c.nextDispatcher(old, load)
 		}
 		if row != old {
 			rows = append(rows, row)
@@ -57,6 +57,20 @@
 	return rows
 }
 
+// nextDispatcher returns the member that is to take the role over from a
+// leaving one.
+func (c *Core) nextDispatcher(row record.ServerRow, load map[string]int) record.Writer {
+	if m, ok := c.state.Members[row.Next.Instance]; ok && m.Writer == row.Next && !m.Leaving {
+		return row.Next
+	}
+	next := c.pickDispatcher(row.Region, row.FailureDomain, load)
+	if c.state.Members[next.Instance].Leaving {
+		return record.Writer{}
+	}
+	load[next.Instance]++
+	return next
+}
+
 // dispatcherLoad counts the backend servers that each member dispatches to.
 func (c *Core) dispatcherLoad() map[string]int {
 	load := map[string]int{}
@@ -73,7 +87,10 @@
 // pickDispatcher chooses the member nearest to the backend server, and the
 // least loaded of those.
 func (c *Core) pickDispatcher(region, domain string, load map[string]int) record.Writer {
-	names := c.state.MemberNames()
+	names := slices.DeleteFunc(c.state.MemberNames(), func(n string) bool { return c.state.Members[n].Leaving })
+	if len(names) == 0 {
+		names = c.state.MemberNames()
+	}
 	distance := func(name string) int {
 		j := c.state.Members[name].Joined
 		switch {
--- /dev/null
+++ b/core/control/leave.go
@@ -0,0 +1,81 @@
+package control
+
+import (
+	"time"
+
+	"bronzewind.example/core/keyspace"
+	"bronzewind.example/core/record"
+	"bronzewind.example/core/state"
+)
+
+// The phases of a graceful leave.
+const (
+	staying        leavePhase = iota
+	handingOver               // roles go to other instances
+	trafficStopped            // no request runs any more
+)
+
+// leavePhase is how far a graceful leave has come.
+type leavePhase uint8
+
+// RolesHandedOver reports whether the leaving instance holds no role that
+// another one could take.
+func (c *Core) RolesHandedOver() bool {
+	if c.over || c.state.Configuration == nil || !c.othersStay() {
+		return true
+	}
+	for _, v := range c.state.Services {
+		if v.Coordinator == c.self {
+			return false
+		}
+		for _, s := range v.Servers {
+			if s.Row.Dispatcher == c.self {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// othersStay reports whether another member is there to take over.
+func (c *Core) othersStay() bool {
+	for _, m := range c.state.Members {
+		if m.Writer != c.self && !m.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// decideLeave announces a graceful leave and ends the membership at its end.
+func (c *Core) decideLeave(now time.Time) []Effect {
+	switch {
+	case c.leave == staying:
+		return nil
+	case c.leave == trafficStopped && c.RolesHandedOver():
+		c.lease.gaveUp = true
+		return c.propose("leave", record.InstanceLeft{}, now)
+	case !c.state.Members[c.self.Instance].Leaving:
+		return c.propose("leaving", record.InstanceLeaving{}, now)
+	default:
+		return nil
+	}
+}
+
+// handOver holds the work of a backend server whose dispatcher is to change,
+// and releases the role once nothing runs.
+func (c *Core) handOver(v *state.Service, server state.Server, g *grantState, now time.Time) []Effect {
+	if !g.handing {
+		g.handing = true
+		return c.hold(v, server, g, allSlots(v, server.Row.Name), now)
+	}
+	if !g.drained {
+		return nil
+	}
+	return c.propose("hand-over/"+v.Name+"/"+server.Row.Name,
+		record.DispatcherReleased{Service: v.Name, Server: server.Row.Name, Epoch: g.epoch}, now)
+}
+
+func allSlots(v *state.Service, server string) []record.SlotRange {
+	return []record.SlotRange{{First: 0, Last: keyspace.Slot(len(v.Slots) - 1), Server: server}}
+}
--- a/core/control/member.go
+++ b/core/control/member.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"bronzewind.example/core/record"
 )
 
 type (
@@ -11,26 +13,50 @@
 	//sumtype:decl
 	Message interface{ message() }
 
-	// Heartbeat tells that its sender runs.
+	// Heartbeat asks a witness to promise its sender a lease.
 	Heartbeat struct {
-		Sequence uint64 `cbor:"1,keyasint"`
+		Round uint64        `cbor:"1,keyasint"` // grows with each heartbeat of a run
+		Lease time.Duration `cbor:"2,keyasint"` // asked for
+	}
+
+	// HeartbeatAnswer promises the lease that the heartbeat of Round asked for.
+	HeartbeatAnswer struct {
+		Round uint64 `cbor:"1,keyasint"`
+	}
+
+	// LostVote says that its sender, a witness of Member, heard nothing of it
+	// for a lease and never answers it again.
+	LostVote struct {
+		Member record.Writer `cbor:"1,keyasint"`
 	}
 )
 
-func (Heartbeat) message() {}
+func (Heartbeat) message()       {}
+func (HeartbeatAnswer) message() {}
+func (LostVote) message()        {}
 
-// decideMembership joins the fleet when the instance is no member.
+// decideMembership joins the fleet when the instance is no member. An earlier
+// run of it has to end first.
 func (c *Core) decideMembership(now time.Time) []Effect {
-	if c.state.IsMember(c.self) {
-		return nil
+	if _, ok := c.state.Members[c.self.Instance]; ok {
+		return c.decideEarlierRun(now)
+	}
+	out := c.propose("join", c.joined, now)
+	if id := c.pending["join"].record.ID; c.state.Configuration != nil && len(c.lease.renewals) == 0 {
+		c.lease.renewals[id] = c.leaseEnd(c.pending["join"].made)
 	}
-	return c.propose("join", c.joined, now)
+	return out
 }
 
 // received takes in a control message.
-func (c *Core) received(e MessageReceived, _ time.Time) []Effect {
-	switch e.Message.(type) {
+func (c *Core) received(e MessageReceived, now time.Time) []Effect {
+	switch m := e.Message.(type) {
 	case Heartbeat:
+		return c.answerHeartbeat(e.From, m, now)
+	case HeartbeatAnswer:
+		c.heartbeatAnswered(e.From, m)
+	case LostVote:
+		c.voteReceived(e.From, m)
 	}
 	return nil
 }
--- /dev/null
+++ b/core/control/naming.go
@@ -0,0 +1,195 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bronzewind.example/core/record"
+	"bronzewind.example/core/state"
+)
+
+const (
+	// witnessCount is the number of witnesses of a member in a fleet that has
+	// as many others.
+	witnessCount = 3
+	// minWitnesses is the least number: one witness alone could cut its member
+	// off, so that the log does better.
+	minWitnesses = 2
+	// namingInterval is the time between looks at all members' witnesses.
+	namingInterval = 100 * time.Millisecond
+	// maxWitnessRows bounds the rows of one record.
+	maxWitnessRows = 64
+)
+
+// decideWitnesses names witnesses for members that lack some. The coordinator
+// of the first service does so for all, and each member replaces those that
+// refused it.
+func (c *Core) decideWitnesses(now time.Time) []Effect {
+	if now.Sub(c.named) < namingInterval {
+		return nil
+	}
+	c.named = now
+	if row, ok := c.withoutRefused(); ok {
+		return c.propose("refused", record.WitnessesNamed{Rows: []record.WitnessRow{row}}, now)
+	}
+	if services := c.state.ServicesInOrder(); len(services) == 0 || services[0].Coordinator != c.self {
+		return nil
+	}
+	var rows []record.WitnessRow
+	load := c.witnessLoad()
+	for _, name := range c.state.MemberNames() {
+		row, ok := c.nextWitnesses(c.state.Members[name], load, now)
+		if ok && c.state.MayName(row) {
+			rows = append(rows, row)
+		}
+		if len(rows) == maxWitnessRows {
+			break
+		}
+	}
+	if len(rows) == 0 {
+		return nil
+	}
+	return c.propose("witnesses", record.WitnessesNamed{Rows: rows}, now)
+}
+
+// witnessLoad counts the members that each instance witnesses.
+func (c *Core) witnessLoad() map[string]int {
+	load := make(map[string]int, len(c.state.Members))
+	for _, m := range c.state.Members {
+		for _, w := range m.Witnesses {
+			load[w.Instance]++
+		}
+	}
+	return load
+}
+
+// wantedWitnesses returns how many witnesses a member is to have.
+func (c *Core) wantedWitnesses() int {
+	n := min(witnessCount, len(c.state.Members)-1)
+	if n < minWitnesses {
+		return 0
+	}
+	return n
+}
+
+// nextWitnesses returns the witnesses that m is to have; false when it keeps
+// those it has. A witness whose membership ended is replaced once its promises
+// have lapsed. A first set is named only while the lease through the log is
+// fresh, so that there is no gap.
+func (c *Core) nextWitnesses(m state.Member, load map[string]int, now time.Time) (record.WitnessRow, bool) {
+	row := record.WitnessRow{Member: m.Writer, Base: m.LeaseVersion}
+	for _, w := range m.Witnesses {
+		if c.state.IsMember(w) || !c.promisesLapsed(w, now) {
+			row.Witnesses = append(row.Witnesses, w)
+		}
+	}
+	want := c.wantedWitnesses()
+	fresh := now.Sub(c.logLeases[m.Writer].read) < c.timing().Lease.Std()/2
+	switch {
+	case len(m.Witnesses) == 0 && !fresh:
+		return row, false
+	case want == 0:
+		row.Witnesses = nil
+	default:
+		row.Witnesses = c.fillWitnesses(m, row.Witnesses, want, load)
+	}
+	return row, !slices.Equal(row.Witnesses, m.Witnesses)
+}
+
+// withoutRefused returns the own row without the witnesses that refused.
+func (c *Core) withoutRefused() (record.WitnessRow, bool) {
+	m := c.state.Members[c.self.Instance]
+	row := record.WitnessRow{Member: c.self, Base: m.LeaseVersion}
+	for _, w := range m.Witnesses {
+		if slices.Contains(c.refused, w) {
+			row.Refused = append(row.Refused, w)
+			continue
+		}
+		row.Witnesses = append(row.Witnesses, w)
+	}
+	if len(row.Refused) == 0 {
+		return row, false
+	}
+	row.Witnesses = c.fillWitnesses(m, row.Witnesses, c.wantedWitnesses(), c.witnessLoad())
+	return row, c.state.MayName(row)
+}
+
+// fillWitnesses adds witnesses to chosen up to the wanted number.
+func (c *Core) fillWitnesses(m state.Member, chosen []record.Writer, want int, load map[string]int) []record.Writer {
+	for len(chosen) < want {
+		w, ok := c.pickWitness(m, chosen, load)
+		if !ok {
+			break
+		}
+		load[w.Instance]++
+		chosen = append(chosen, w)
+	}
+	return chosen
+}
+
+// witnessScore orders candidates; the least is the best.
+type witnessScore struct {
+	sameDomain int    // it shares its failure domain with the member or a witness
+	sameRegion int    // witnesses in its region
+	load       int    // members that it witnesses
+	hash       uint64 // breaks ties differently for each member
+}
+
+func (s witnessScore) less(o witnessScore) bool {
+	switch {
+	case s.sameDomain != o.sameDomain:
+		return s.sameDomain < o.sameDomain
+	case s.sameRegion != o.sameRegion:
+		return s.sameRegion < o.sameRegion
+	case s.load != o.load:
+		return s.load < o.load
+	default:
+		return s.hash < o.hash
+	}
+}
+
+// pickWitness returns the best other member that is not chosen yet.
+func (c *Core) pickWitness(m state.Member, chosen []record.Writer, load map[string]int) (record.Writer, bool) {
+	var best state.Member
+	var least witnessScore
+	for _, o := range c.state.Members {
+		if o.Writer.Instance == m.Writer.Instance || o.Leaving || slices.Contains(chosen, o.Writer) || slices.Contains(c.refusedBy(m), o.Writer) {
+			continue
+		}
+		s := c.scoreWitness(m, o, chosen, load)
+		if best.Writer.Instance == "" || s.less(least) {
+			best, least = o, s
+		}
+	}
+	return best.Writer, best.Writer.Instance != ""
+}
+
+// refusedBy returns the witnesses that are known to have refused m.
+func (c *Core) refusedBy(m state.Member) []record.Writer {
+	if m.Writer == c.self {
+		return c.refused
+	}
+	return nil
+}
+
+func (c *Core) scoreWitness(m, o state.Member, chosen []record.Writer, load map[string]int) witnessScore {
+	s := witnessScore{
+		load: load[o.Writer.Instance],
+		hash: xxhash.Sum64String(m.Writer.Instance + "/" + o.Writer.Instance),
+	}
+	if o.Joined.FailureDomain == m.Joined.FailureDomain {
+		s.sameDomain++
+	}
+	for _, w := range chosen {
+		joined := c.state.Members[w.Instance].Joined
+		if joined.FailureDomain == o.Joined.FailureDomain {
+			s.sameDomain++
+		}
+		if joined.Region == o.Joined.Region {
+			s.sameRegion++
+		}
+	}
+	return s
+}
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -51,9 +51,11 @@
 	// nothing any more.
 	InstanceLeft struct{}
 
-	// InstanceLost ends the membership of another instance whose lease lapsed.
+	// InstanceLost ends the membership of another instance whose lease lapsed
+	// for good; void unless Base is the member's lease version.
 	InstanceLost struct {
 		Member Writer `cbor:"1,keyasint"`
+		Base   uint64 `cbor:"2,keyasint"`
 	}
 
 	// CoordinatorClaimed makes the writer coordinator; void unless Term
@@ -71,6 +73,7 @@
 		FailureDomain string `cbor:"4,keyasint"`
 		Dispatcher    Writer `cbor:"5,keyasint"`
 		Leaving       bool   `cbor:"6,keyasint"`
+		Next          Writer `cbor:"8,keyasint"` // takes over once Dispatcher releases the role
 	}
 
 	// ServerReported says whether a backend server answers its dispatcher, who
@@ -200,6 +203,14 @@
 		r.Body, err = decodeBody[SlotsReleased](e.Body)
 	case kindServerReported:
 		r.Body, err = decodeBody[ServerReported](e.Body)
+	case kindLeaseRenewed:
+		r.Body, err = decodeBody[LeaseRenewed](e.Body)
+	case kindWitnessesNamed:
+		r.Body, err = decodeBody[WitnessesNamed](e.Body)
+	case kindInstanceLeaving:
+		r.Body, err = decodeBody[InstanceLeaving](e.Body)
+	case kindDispatcherReleased:
+		r.Body, err = decodeBody[DispatcherReleased](e.Body)
 	default:
 		return Record{}, &UnknownKindError{ID: e.ID, Kind: e.Kind}
 	}
--- a/core/state/fold.go
+++ b/core/state/fold.go
@@ -27,12 +27,19 @@
 	case record.ConfigurationPublished:
 		return s.publish(b)
 	case record.InstanceJoined:
-		s.Members[r.Writer.Instance] = Member{Writer: r.Writer, Joined: b}
-		return Accepted
+		return s.join(r.Writer, b)
 	case record.InstanceLeft:
 		return s.removeMember(r.Writer)
 	case record.InstanceLost:
-		return s.removeMember(b.Member)
+		return s.lose(b)
+	case record.LeaseRenewed:
+		return s.renewLease(r.Writer)
+	case record.WitnessesNamed:
+		return s.nameWitnesses(b)
+	case record.InstanceLeaving:
+		return s.startLeaving(r.Writer)
+	case record.DispatcherReleased:
+		return s.releaseDispatcher(r.Writer, b)
 	case record.CoordinatorClaimed:
 		return s.claim(r.Writer, b)
 	case record.ServersPlaced:
@@ -120,7 +127,7 @@
 	v.Version++
 	for _, row := range b.Servers {
 		old := v.Servers[row.Name]
-		next := Server{Row: row, Epoch: old.Epoch, Up: old.Up, Run: old.Run}
+		next := Server{Row: row, Epoch: old.Epoch, Up: old.Up, Run: old.Run, Handed: old.Handed}
 		if old.Row.Dispatcher != row.Dispatcher {
 			next.Epoch = v.Version
 		}
@@ -206,7 +213,7 @@
 		return Stale
 	}
 	v.Version++
-	server.Up, server.Run = b.Up, b.Incarnation
+	server.Up, server.Run, server.Handed = b.Up, b.Incarnation, false
 	v.Servers[b.Server] = server
 	if !b.Up {
 		v.freeAll(b.Server)
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -14,8 +14,11 @@
 type (
 	// Member is an instance that the log counts.
 	Member struct {
-		Writer record.Writer
-		Joined record.InstanceJoined
+		Writer       record.Writer
+		Joined       record.InstanceJoined
+		Witnesses    []record.Writer // none while the lease is renewed through the log
+		LeaseVersion uint64          // grows with each renewal through the log and each change of Witnesses
+		Leaving      bool            // it gets no new roles
 	}
 
 	// Server is a backend server under its dispatcher.
@@ -24,6 +27,10 @@
 		Epoch uint64 // of the dispatcher role; grows at each change of Dispatcher
 		Up    bool   // as its dispatcher reported; a server that is not up owns nothing
 		Run   uint64 // incarnation that was last reported up
+		// Handed says that an earlier dispatcher handed its role over while its
+		// lease held, so that its grants may have outlasted the role. The next
+		// report ends it.
+		Handed bool
 	}
 
 	// SlotRow is the ownership of one slot.
