--- a/core/backend/protocol.go
+++ b/core/backend/protocol.go
@@ -2,7 +2,12 @@
 // grants of slots, and the headers of a request.
 package backend
 
-import "bronzewind.example/core/record"
+import (
+	"slices"
+
+	"bronzewind.example/core/keyspace"
+	"bronzewind.example/core/record"
+)
 
 const (
 	// GrantPath takes a Grant by PUT and answers a GrantAnswer.
@@ -40,6 +45,8 @@
 		Incarnation uint64             `json:"incarnation"` // 0 asks for the clock alone
 		UntilMicros int64              `json:"until-us"`    // on the backend server's clock
 		Slots       []record.SlotRange `json:"slots"`
+		Keys        []keyspace.Hash    `json:"keys,omitempty"`   // hot keys granted besides the slots
+		Except      []keyspace.Hash    `json:"except,omitempty"` // hot keys not granted though their slots are
 	}
 
 	// GrantAnswer tells the backend server's run and clock.
@@ -59,3 +66,14 @@
 		Busy    float64 `json:"busy"` // share of slots, 0 to 1
 	}
 )
+
+// Covers reports whether the grant gives the key with hash h, which is in slot.
+func (g Grant) Covers(h keyspace.Hash, slot keyspace.Slot) bool {
+	if slices.Contains(g.Keys, h) {
+		return true
+	}
+	if slices.Contains(g.Except, h) {
+		return false
+	}
+	return slices.ContainsFunc(g.Slots, func(r record.SlotRange) bool { return r.First <= slot && slot <= r.Last })
+}
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -16,6 +16,9 @@
 	RankCount = 3
 )
 
+// MaxSlots is the largest slot count of a service.
+const MaxSlots = 1 << 20
+
 // The places where a key can stand in a request.
 const (
 	KeyFromPath   KeySource = "path"
@@ -83,7 +86,16 @@
 		ChecksGrants   bool     `yaml:"checks-grants"`   // refuses work without a valid grant
 		TrustsRefusals bool     `yaml:"trusts-refusals"` // a marked refusal surely did not run
 		ColdStart      Duration `yaml:"cold-start"`      // ramp of a new backend server
-		Kinds          []Kind   `yaml:"kinds"`           // at least one
+		Balance        Balance  `yaml:"balance,omitempty"`
+		Kinds          []Kind   `yaml:"kinds"` // at least one
+	}
+
+	// Balance bounds how unequal the load of backend servers may be, and how
+	// fast ownership may change to mend that.
+	Balance struct {
+		Bound  float64 `yaml:"bound,omitempty"`  // largest share over or under the mean utilisation; 0 means 0.2
+		Settle float64 `yaml:"settle,omitempty"` // share that moves go on to; below Bound; 0 means a quarter of Bound
+		Moves  int     `yaml:"moves,omitempty"`  // most slots and keys moved in 10 s; 0 means a 32nd of the slots
 	}
 
 	// Key says where the key stands.
--- a/core/config/parse.go
+++ b/core/config/parse.go
@@ -65,10 +65,13 @@
 func (s *Service) check(at string, add func(bad bool, field, fault, mend string)) {
 	add(s.Name == "", at+".name", "is empty", "name the service")
 	add(!strings.HasPrefix(s.PathPrefix, "/") || !strings.HasSuffix(s.PathPrefix, "/"), at+".path-prefix", "does not start and end with \"/\"", "write it as \"/"+s.Name+"/\"")
-	add(s.Slots < 1 || s.Slots > 1<<20 || s.Slots&(s.Slots-1) != 0, at+".slots", "is not a power of two up to 1048576", "choose for example 4096")
+	add(s.Slots < 1 || s.Slots > MaxSlots || s.Slots&(s.Slots-1) != 0, at+".slots", "is not a power of two up to 1048576", "choose for example 4096")
 	add(s.ServerSlots < 1, at+".server-slots", "is not positive", "give the number of requests that a backend server runs at once")
 	add(s.Connections < s.ServerSlots, at+".connections", "is below server-slots", "raise connections")
 	add(len(s.Kinds) == 0, at+".kinds", "is empty", "configure at least one kind of work")
+	add(s.Balance.Bound < 0 || s.Balance.Bound > 1, at+".balance.bound", "is not from 0 to 1", "give a share of the mean utilisation, for example 0.2")
+	add(s.Balance.Settle < 0 || s.Balance.Settle > s.Balance.Bound, at+".balance.settle", "is not from 0 to bound", "lower settle")
+	add(s.Balance.Moves < 0, at+".balance.moves", "is negative", "give the most slots that may move in 10 s")
 	switch s.Key.From {
 	case KeyFromPath:
 		add(s.Key.Segment < 0, at+".key.segment", "is negative", "count path segments from 0")
--- /dev/null
+++ b/core/control/assign.go
@@ -0,0 +1,488 @@
+package control
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"bronzewind.example/core/config"
+	"bronzewind.example/core/keyspace"
+	"bronzewind.example/core/record"
+	"bronzewind.example/core/state"
+)
+
+const (
+	defaultBound    = 0.2              // share over or under the mean utilisation
+	settleDivisor   = 4                // of the bound; moves go on to that share
+	movesDivisor    = 16               // of the slots; most moves in a balanceInterval
+	balanceInterval = 10 * time.Second // loads settle after moves in less
+
+	// startWait is how long the first assignment waits for all backend servers
+	// that the list names to be up.
+	startWait = 2 * time.Second
+
+	// checkInterval is the longest time between two looks at unchanged state.
+	checkInterval = 100 * time.Millisecond
+
+	// maxRanges bounds the size of one record.
+	maxRanges = 4096
+
+	// baseUtilisation is what idle slots count together, as a share of the
+	// capacity, so that idle slots are spread too.
+	baseUtilisation = 0.1
+)
+
+type (
+	// planState is what the coordinator of a service keeps between plans.
+	planState struct {
+		balancing bool                        // imbalance passed the bound and has not settled yet
+		next      time.Time                   // of the next round of moves
+		cold      map[keyspace.Hash]time.Time // hot keys that are hot no longer, since when
+		started   time.Time                   // when the first backend server was up
+		checked   time.Time                   // when the service was last looked at
+		offset    uint64                      // of the state then
+		version   uint64                      // of the service for which the following hold
+		moving    bool                        // a slot or key is on the move
+		unplaced  bool                        // a slot or key has no owner, or one that leaves
+	}
+
+	// unit is a slot or hot key that is owned and moves as one.
+	unit struct {
+		slot   keyspace.Slot
+		key    keyspace.Hash
+		hot    bool // the unit is a key
+		moving bool
+		weight float64
+	}
+
+	// bin is a backend server in a plan.
+	bin struct {
+		name     string
+		domain   string
+		capacity float64
+		load     float64 // of units that it owns, or is to own next
+		accepts  bool
+		stuck    bool   // nothing on it can move to mend the imbalance
+		units    []unit // that it owns or is to own next
+	}
+
+	// planner works out one change of ownership.
+	planner struct {
+		bins    []*bin // in order of name
+		byName  map[string]*bin
+		domains map[string]*domainLoad
+		free    []unit // in order: slots by number, then keys by hash
+		change  change
+	}
+
+	domainLoad struct{ load, capacity float64 }
+
+	// change is the next owners of slots and hot keys.
+	change struct {
+		ranges []record.SlotRange
+		keys   []record.KeyRow
+		slots  map[keyspace.Slot]string
+	}
+)
+
+// plan returns the next change of ownership in v: free slots are given out at
+// once, servers that leave are emptied, and imbalance over its bound is mended
+// by few moves in each interval.
+func (c *Core) plan(v *state.Service, now time.Time) change {
+	conf, ok := c.state.Configuration.Service(v.Name)
+	if !ok {
+		return change{}
+	}
+	st := c.planState(v.Name)
+	st.look(v)
+	if c.starting(v, st, now) {
+		return change{}
+	}
+	if !st.moving && !now.Before(st.next) {
+		st.next = now.Add(balanceInterval)
+		w := c.weigh(v, baseWeight(v, conf), now)
+		if rows := st.hotRows(v, w, now); len(rows) > 0 {
+			return change{keys: rows}
+		}
+		p := newPlanner(v, conf, w)
+		p.place()
+		st.balancing = p.balance(conf, len(v.Slots), st.balancing)
+		return p.result()
+	}
+	if !st.unplaced {
+		return change{}
+	}
+	p := newPlanner(v, conf, c.weigh(v, baseWeight(v, conf), now))
+	p.place()
+	return p.result()
+}
+
+func (c *Core) planState(service string) *planState {
+	st, ok := c.plans[service]
+	if !ok {
+		st = &planState{cold: map[keyspace.Hash]time.Time{}}
+		c.plans[service] = st
+	}
+	return st
+}
+
+// due reports whether the state has changed or some time passed since the
+// service was last looked at.
+func (s *planState) due(offset uint64, now time.Time) bool {
+	if offset == s.offset && now.Sub(s.checked) < checkInterval {
+		return false
+	}
+	s.offset, s.checked = offset, now
+	return true
+}
+
+// look brings what depends on the version alone up to date.
+func (s *planState) look(v *state.Service) {
+	if s.version != v.Version {
+		s.version, s.moving, s.unplaced = v.Version, moving(v), unplaced(v)
+	}
+}
+
+// starting reports whether the first assignment still waits for backend
+// servers. Without the wait the first one up would own all slots, and most
+// would move at once.
+func (c *Core) starting(v *state.Service, st *planState, now time.Time) bool {
+	up, listed := 0, 0
+	for _, s := range v.Servers {
+		if s.Up {
+			up++
+		}
+	}
+	for _, l := range c.listed {
+		if l.Service == v.Name && !l.Leaving {
+			listed++
+		}
+	}
+	if up > 0 && st.started.IsZero() {
+		st.started = now
+	}
+	if up == 0 || up >= listed || now.Sub(st.started) >= startWait {
+		return up == 0
+	}
+	return !slices.ContainsFunc(v.Slots, func(row state.SlotRow) bool { return row.Epoch > 0 })
+}
+
+// moving reports whether any slot or key of v is on the move.
+func moving(v *state.Service) bool {
+	for _, row := range v.Slots {
+		if row.Next != "" {
+			return true
+		}
+	}
+	for _, row := range v.Keys {
+		if row.Next != "" {
+			return true
+		}
+	}
+	return false
+}
+
+// unplaced reports whether a slot or key of v has no owner, or one that is to
+// own nothing.
+func unplaced(v *state.Service) bool {
+	bad := func(row state.SlotRow) bool {
+		s, ok := v.Servers[heir(row)]
+		return !ok || s.Emptying()
+	}
+	return slices.ContainsFunc(v.Slots, bad) || slices.ContainsFunc(slices.Collect(maps.Values(v.Keys)), bad)
+}
+
+// heir returns the server that is to own the row once its move has ended.
+func heir(row state.SlotRow) string {
+	if row.Next != "" {
+		return row.Next
+	}
+	return row.Owner
+}
+
+func baseWeight(v *state.Service, conf *config.Service) float64 {
+	total := 0.0
+	for _, s := range v.Servers {
+		total += capacity(s, conf)
+	}
+	return baseUtilisation * total / float64(len(v.Slots))
+}
+
+func capacity(s state.Server, conf *config.Service) float64 {
+	if s.Row.Capacity > 0 {
+		return float64(s.Row.Capacity)
+	}
+	return float64(conf.ServerSlots)
+}
+
+func newPlanner(v *state.Service, conf *config.Service, w weights) *planner {
+	p := &planner{byName: map[string]*bin{}, domains: map[string]*domainLoad{}, change: change{slots: map[keyspace.Slot]string{}}}
+	for _, name := range v.ServerNames() {
+		s := v.Servers[name]
+		if !s.Up {
+			continue
+		}
+		b := &bin{name: name, domain: s.Row.FailureDomain, capacity: capacity(s, conf), accepts: !s.Emptying()}
+		p.bins = append(p.bins, b)
+		p.byName[name] = b
+		if p.domains[b.domain] == nil {
+			p.domains[b.domain] = &domainLoad{}
+		}
+		p.domains[b.domain].capacity += b.capacity
+	}
+	for i, row := range v.Slots {
+		p.take(unit{slot: keyspace.Slot(i), weight: w.slots[i]}, row)
+	}
+	for _, h := range v.KeysInOrder() {
+		p.take(unit{key: h, slot: h.Slot(len(v.Slots)), hot: true, weight: w.keys[h]}, v.Keys[h])
+	}
+	return p
+}
+
+func (p *planner) take(u unit, row state.SlotRow) {
+	u.moving = row.Next != ""
+	b, ok := p.byName[heir(row)]
+	if !ok {
+		p.free = append(p.free, u)
+		return
+	}
+	p.put(u, b)
+}
+
+func (p *planner) put(u unit, b *bin) {
+	b.units = append(b.units, u)
+	b.load += u.weight
+	p.domains[b.domain].load += u.weight
+}
+
+// give makes b the next owner of u.
+func (p *planner) give(u unit, b *bin) {
+	p.put(u, b)
+	if u.hot {
+		p.change.keys = append(p.change.keys, record.KeyRow{Hash: u.key, Server: b.name})
+		return
+	}
+	p.change.slots[u.slot] = b.name
+}
+
+func (b *bin) utilisation() float64 { return b.load / b.capacity }
+
+func (d *domainLoad) utilisation() float64 { return d.load / d.capacity }
+
+// place gives units without an owner, and those of servers that are to own
+// nothing, to servers that accept them.
+func (p *planner) place() {
+	accepting := p.accepting()
+	if len(accepting) == 0 {
+		return
+	}
+	units := p.free
+	p.free = nil
+	for _, b := range p.bins {
+		if !b.accepts {
+			units = append(units, b.units...)
+			p.domains[b.domain].load -= b.load
+			b.units, b.load = nil, 0
+		}
+	}
+	p.spread(units, accepting)
+}
+
+func (p *planner) accepting() []*bin {
+	var out []*bin
+	for _, b := range p.bins {
+		if b.accepts {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+// spread gives units out so that utilisations get equal. Runs of slots stay
+// together, so that the record of it is small; keys go one by one to the least
+// utilised server.
+func (p *planner) spread(units []unit, to []*bin) {
+	total, room := 0.0, 0.0
+	for _, u := range units {
+		if !u.hot {
+			total += u.weight
+		}
+	}
+	level := fillLevel(to, total)
+	share := make([]float64, len(to))
+	for i, b := range to {
+		share[i] = max(0, level*b.capacity-b.load)
+		room += share[i]
+	}
+	at, given := 0, 0.0
+	for _, u := range units {
+		if u.hot {
+			p.give(u, p.least(to))
+			continue
+		}
+		for at < len(to)-1 && given+u.weight/2 > share[at] {
+			given -= share[at]
+			at++
+		}
+		given += u.weight
+		p.give(u, to[at])
+	}
+}
+
+// fillLevel returns the utilisation up to which bins are filled by weight more.
+func fillLevel(bins []*bin, weight float64) float64 {
+	order := slices.Clone(bins)
+	slices.SortFunc(order, func(a, b *bin) int { return cmp.Compare(a.utilisation(), b.utilisation()) })
+	load, capacity := weight, 0.0
+	for i, b := range order {
+		load += b.load
+		capacity += b.capacity
+		if i+1 == len(order) || load/capacity <= order[i+1].utilisation() {
+			break
+		}
+	}
+	return load / capacity
+}
+
+// least returns the least utilised bin; of those within a hundredth, the one in
+// the least utilised failure domain.
+func (p *planner) least(bins []*bin) *bin {
+	low := slices.MinFunc(bins, func(a, b *bin) int { return cmp.Compare(a.utilisation(), b.utilisation()) })
+	limit := low.utilisation() * 1.01
+	for _, b := range bins {
+		if b.utilisation() <= limit && p.domains[b.domain].utilisation() < p.domains[low.domain].utilisation() {
+			low = b
+		}
+	}
+	return low
+}
+
+func mean(bins []*bin) float64 {
+	load, capacity := 0.0, 0.0
+	for _, b := range bins {
+		load += b.load
+		capacity += b.capacity
+	}
+	return load / capacity
+}
+
+// balance moves units from the most to the least utilised server while the
+// imbalance is over its bound, or has been and is not settled. It returns
+// whether more is to be done in the next interval.
+func (p *planner) balance(conf *config.Service, slots int, balancing bool) bool {
+	bins := p.accepting()
+	if len(bins) < 2 {
+		return false
+	}
+	bound, settle, moves := limits(conf.Balance, slots)
+	if !balancing && !imbalanced(bins, bound) {
+		return false
+	}
+	for ; moves > 0 && imbalanced(bins, settle); moves-- {
+		if !p.moveOne(bins) {
+			return false
+		}
+	}
+	return imbalanced(bins, settle)
+}
+
+func limits(b config.Balance, slots int) (bound, settle float64, moves int) {
+	bound, settle, moves = b.Bound, b.Settle, b.Moves
+	if bound == 0 {
+		bound = defaultBound
+	}
+	if settle == 0 {
+		settle = bound / settleDivisor
+	}
+	if moves == 0 {
+		moves = max(1, slots/movesDivisor)
+	}
+	return bound, settle, moves
+}
+
+// imbalanced reports whether a server is further than bound from the mean
+// utilisation.
+func imbalanced(bins []*bin, bound float64) bool {
+	m := mean(bins)
+	for _, b := range bins {
+		if u := b.utilisation(); u > m*(1+bound) || u < m*(1-bound) {
+			return true
+		}
+	}
+	return false
+}
+
+// moveOne makes the one move that mends most. It returns false when no move
+// mends anything.
+func (p *planner) moveOne(bins []*bin) bool {
+	m := mean(bins)
+	for {
+		var high *bin
+		for _, b := range bins {
+			if !b.stuck && (high == nil || b.utilisation() > high.utilisation()) {
+				high = b
+			}
+		}
+		if high == nil || high.utilisation() <= m {
+			return false
+		}
+		low := p.least(bins)
+		if i := high.pick(low, m); i >= 0 {
+			u := high.units[i]
+			high.units = slices.Delete(high.units, i, i+1)
+			high.load -= u.weight
+			p.domains[high.domain].load -= u.weight
+			p.give(u, low)
+			return true
+		}
+		high.stuck = true
+	}
+}
+
+// pick returns the index of the unit to move from b to low: the heaviest that
+// takes neither past the mean, or else the lightest if low stays below b. It
+// returns -1 when no unit does.
+func (b *bin) pick(low *bin, mean float64) int {
+	fit := min(b.load-mean*b.capacity, mean*low.capacity-low.load)
+	best, lightest := -1, -1
+	for i, u := range b.units {
+		if u.moving || u.weight <= 0 {
+			continue
+		}
+		if u.weight <= fit && (best < 0 || u.weight > b.units[best].weight) {
+			best = i
+		}
+		if lightest < 0 || u.weight < b.units[lightest].weight {
+			lightest = i
+		}
+	}
+	if best >= 0 || lightest < 0 {
+		return best
+	}
+	if w := b.units[lightest].weight; (low.load+w)/low.capacity < (b.load-w)/b.capacity {
+		return lightest
+	}
+	return -1
+}
+
+func (c change) empty() bool { return len(c.ranges)+len(c.keys) == 0 }
+
+// result returns the change with its slots as ranges in order.
+func (p *planner) result() change {
+	c := p.change
+	for _, slot := range slices.Sorted(maps.Keys(c.slots)) {
+		c.ranges = appendSlot(c.ranges, slot, c.slots[slot])
+	}
+	c.ranges = c.ranges[:min(len(c.ranges), maxRanges)]
+	return c
+}
+
+// appendSlot adds slot to ranges that are in order and end below it.
+func appendSlot(rs []record.SlotRange, slot keyspace.Slot, server string) []record.SlotRange {
+	if n := len(rs); n > 0 && rs[n-1].Server == server && rs[n-1].Last+1 == slot {
+		rs[n-1].Last = slot
+		return rs
+	}
+	return append(rs, record.SlotRange{First: slot, Last: slot, Server: server})
+}
--- a/core/control/control.go
+++ b/core/control/control.go
@@ -4,20 +4,16 @@
 package control
 
 import (
-	"fmt"
 	"time"
 
 	"bronzewind.example/core/backend"
+	"bronzewind.example/core/keyspace"
 	"bronzewind.example/core/platform"
 	"bronzewind.example/core/record"
 	"bronzewind.example/core/route"
 	"bronzewind.example/core/state"
 )
 
-// appendRetry is the wait before a record that was not read back is appended
-// again under the same ID.
-const appendRetry = 2 * time.Second
-
 type (
 	// Event is what happened. The set of events is sealed.
 	//
@@ -33,9 +29,16 @@
 	RecordsRead struct {
 		First    uint64
 		Entries  [][]byte
-		CaughtUp bool // the log has no more at present
+		CaughtUp bool   // the log has no more at present
+		Oldest   uint64 // offset of the oldest record still kept
 	}
 
+	// LogTruncated tells that the log no longer keeps the offset asked for.
+	LogTruncated struct{ Oldest uint64 }
+
+	// SnapshotReceived brings the encoded state of another instance.
+	SnapshotReceived struct{ Data []byte }
+
 	// ServersListed brings the platform's list of backend servers.
 	ServersListed struct{ Rows []platform.Listed }
 
@@ -49,9 +52,10 @@
 		Err             string
 	}
 
-	// SlotsDrained says that no request of the held slots runs any more.
+	// SlotsDrained says that no request of the held slots and keys runs any more.
 	SlotsDrained struct {
 		Service, Server string
+		Hold            uint64 // of the HoldSlots
 		Ranges          []record.SlotRange
 	}
 
@@ -64,6 +68,9 @@
 	// Ticked lets time pass.
 	Ticked struct{}
 
+	// ReadLog asks for the log to be read from an offset on.
+	ReadLog struct{ From uint64 }
+
 	// Append asks for a record in the log; reading it back ends the wait.
 	Append struct{ Record record.Record }
 
@@ -85,12 +92,18 @@
 		Until           time.Time
 		Granted         []record.SlotRange
 		Held            []record.SlotRange
+		Keys            []keyspace.Hash // hot keys that are granted by themselves
+		Except          []keyspace.Hash // hot keys that are not granted with their slots
+		HeldKeys        []keyspace.Hash
 	}
 
-	// HoldSlots stops new work of slots that move away; SlotsDrained answers.
+	// HoldSlots stops new work of slots and hot keys that move away;
+	// SlotsDrained answers.
 	HoldSlots struct {
 		Service, Server string
+		Hold            uint64 // grows with each hold of an instance
 		Ranges          []record.SlotRange
+		Keys            []keyspace.Hash
 		Limit           time.Duration // then work in flight is cancelled
 	}
 
@@ -111,12 +124,20 @@
 	Core struct {
 		self     record.Writer
 		joined   record.InstanceJoined
-		state    *state.State
+		log      *state.Follower
+		state    *state.State // of log
 		caughtUp bool
 		listed   []platform.Listed
-		pending  map[string]pending // by subject; at most one record each
+		missing  map[serverKey]time.Time // since when the list names them no longer
+		pending  map[string]pending      // by subject; at most one record each
 		grants   map[serverKey]*grantState
+		loads    map[serverKey]measuredLoad
+		plans    map[string]*planState // by service, while the instance coordinates it
+		vacant   map[string]time.Time  // by service, since when it has no coordinator
+		oldest   uint64                // offset of the oldest record that the log still keeps
+		saved    savedState
 		sequence uint64
+		holds    uint64
 	}
 
 	serverKey struct{ service, server string }
@@ -124,17 +145,21 @@
 	// pending is a record whose fate is not known yet.
 	pending struct {
 		record record.Record
+		tries  int
 		sent   time.Time
 	}
 )
 
-func (RecordsRead) event()     {}
-func (ServersListed) event()   {}
-func (GrantAnswered) event()   {}
-func (SlotsDrained) event()    {}
-func (MessageReceived) event() {}
-func (Ticked) event()          {}
+func (RecordsRead) event()      {}
+func (LogTruncated) event()     {}
+func (SnapshotReceived) event() {}
+func (ServersListed) event()    {}
+func (GrantAnswered) event()    {}
+func (SlotsDrained) event()     {}
+func (MessageReceived) event()  {}
+func (Ticked) event()           {}
 
+func (ReadLog) effect()     {}
 func (Append) effect()      {}
 func (SendGrant) effect()   {}
 func (SetTable) effect()    {}
@@ -145,12 +170,18 @@
 
 // NewCore returns the control state of the instance self before any event.
 func NewCore(self record.Writer, joined record.InstanceJoined) *Core {
+	log := state.NewFollower()
 	return &Core{
 		self:    self,
 		joined:  joined,
-		state:   state.New(),
+		log:     log,
+		state:   log.State,
 		pending: map[string]pending{},
 		grants:  map[serverKey]*grantState{},
+		missing: map[serverKey]time.Time{},
+		loads:   map[serverKey]measuredLoad{},
+		plans:   map[string]*planState{},
+		vacant:  map[string]time.Time{},
 	}
 }
 
@@ -160,12 +191,18 @@
 	switch e := e.(type) {
 	case RecordsRead:
 		out = c.read(e)
+	case LogTruncated:
+		out = c.truncated(e)
+	case SnapshotReceived:
+		out = c.adopt(e)
 	case ServersListed:
-		c.listed = e.Rows
+		c.list(e, now)
 	case GrantAnswered:
 		out = c.grantAnswered(e, now)
 	case SlotsDrained:
 		out = c.drained(e, now)
+	case LoadMeasured:
+		out = c.measured(e, now)
 	case MessageReceived:
 		out = c.received(e, now)
 	case Ticked:
@@ -178,73 +215,21 @@
 
 // Ready reports whether the instance may serve traffic.
 func (c *Core) Ready() bool {
-	return c.caughtUp && c.state.Configuration != nil && c.state.IsMember(c.self)
+	return c.caughtUp && c.state.Unknown == 0 && c.state.Configuration != nil && c.state.IsMember(c.self)
 }
 
 // decide returns what follows from the state as it is now.
 func (c *Core) decide(now time.Time) []Effect {
-	if !c.caughtUp {
+	if !c.caughtUp || c.state.Unknown > 0 {
 		return nil
 	}
 	out := c.decideMembership(now)
 	if c.state.Configuration == nil || !c.state.IsMember(c.self) {
 		return out
 	}
-	for i := range c.state.Configuration.Services {
-		out = append(out, c.decideService(&c.state.Configuration.Services[i], now)...)
+	if c.log.Whole() {
+		out = append(out, c.decideServices(now)...)
+		out = append(out, c.decideCheckpoint(now)...)
 	}
 	return append(out, c.decideGrants(now)...)
 }
-
-// read folds entries and publishes the new snapshot.
-func (c *Core) read(e RecordsRead) []Effect {
-	var out []Effect
-	for i, data := range e.Entries {
-		out = append(out, c.fold(e.First+uint64(i), data)...)
-	}
-	c.caughtUp = c.caughtUp || e.CaughtUp
-	if len(e.Entries) == 0 {
-		return out
-	}
-	if t := route.NewTable(c.state); t != nil {
-		out = append(out, SetTable{Table: t})
-	}
-	return out
-}
-
-func (c *Core) fold(offset uint64, data []byte) []Effect {
-	if offset < c.state.Next {
-		return nil
-	}
-	r, err := record.Decode(data)
-	if err != nil {
-		c.state.Skip(offset)
-		return []Effect{Log{Message: "record skipped", Detail: err.Error()}}
-	}
-	verdict := c.state.Apply(offset, r)
-	for subject, p := range c.pending {
-		if p.record.ID == r.ID {
-			delete(c.pending, subject)
-		}
-	}
-	if verdict == state.Accepted {
-		return nil
-	}
-	return []Effect{Log{Message: "record not accepted", Detail: r.ID + " " + verdict.String()}}
-}
-
-// propose appends body about subject, unless an earlier record about it is
-// still on its way; that one is sent again under its own ID after a time.
-func (c *Core) propose(subject string, body record.Body, now time.Time) []Effect {
-	if p, ok := c.pending[subject]; ok {
-		if now.Sub(p.sent) < appendRetry {
-			return nil
-		}
-		c.pending[subject] = pending{record: p.record, sent: now}
-		return []Effect{Append{Record: p.record}}
-	}
-	c.sequence++
-	r := record.Record{ID: fmt.Sprintf("%s/%d", c.self, c.sequence), Writer: c.self, Body: body}
-	c.pending[subject] = pending{record: r, sent: now}
-	return []Effect{Append{Record: r}}
-}
--- a/core/control/coordinator.go
+++ b/core/control/coordinator.go
@@ -1,62 +1,171 @@
 package control
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
-	"bronzewind.example/core/config"
 	"bronzewind.example/core/keyspace"
 	"bronzewind.example/core/record"
 	"bronzewind.example/core/state"
 )
 
-// decideService claims the coordinator's role when it is vacant, and carries
-// it out when the instance holds it.
-func (c *Core) decideService(conf *config.Service, now time.Time) []Effect {
-	v := c.state.Services[conf.Name]
-	if !c.state.IsMember(v.Coordinator) {
-		if c.state.MemberNames()[0] != c.self.Instance {
-			return nil
+const (
+	// listLag is how long the list may miss a backend server before it counts
+	// as gone.
+	listLag = 3 * time.Second
+
+	// claimStep is how much longer each next member waits before it claims a
+	// vacant coordinator's role.
+	claimStep = 500 * time.Millisecond
+)
+
+// list takes the platform's list and notes which backend servers it misses.
+func (c *Core) list(e ServersListed, now time.Time) {
+	c.listed = e.Rows
+	named := map[serverKey]bool{}
+	for _, l := range e.Rows {
+		named[serverKey{service: l.Service, server: l.Name}] = true
+	}
+	for key := range c.missing {
+		if named[key] {
+			delete(c.missing, key)
+		}
+	}
+	for _, v := range c.state.Services {
+		for name := range v.Servers {
+			key := serverKey{service: v.Name, server: name}
+			if _, ok := c.missing[key]; !ok && !named[key] {
+				c.missing[key] = now
+			}
+		}
+	}
+}
+
+// gone reports whether the list misses a backend server for long enough.
+func (c *Core) gone(service, server string, now time.Time) bool {
+	since, ok := c.missing[serverKey{service: service, server: server}]
+	return ok && now.Sub(since) >= listLag
+}
+
+// decideServices carries out the coordinator's roles that the instance holds,
+// and claims those that it is to take over.
+func (c *Core) decideServices(now time.Time) []Effect {
+	var out []Effect
+	for _, v := range c.state.ServicesInOrder() {
+		switch {
+		case v.Coordinator == c.self:
+			delete(c.vacant, v.Name)
+			out = append(out, c.coordinate(v, now)...)
+		case c.state.IsMember(v.Coordinator):
+			delete(c.vacant, v.Name)
+			delete(c.plans, v.Name)
+		case c.mayClaim(v.Name, now):
+			out = append(out, c.propose("coordinator/"+v.Name, record.CoordinatorClaimed{Service: v.Name, Term: v.Term + 1}, now)...)
+		}
+	}
+	return out
+}
+
+// mayClaim reports whether the instance is to claim the vacant role: members
+// take their turns in an order that differs between services.
+func (c *Core) mayClaim(service string, now time.Time) bool {
+	since, ok := c.vacant[service]
+	if !ok {
+		since = now
+		c.vacant[service] = now
+	}
+	self, before := keyspace.NewHash(service+"/"+c.self.Instance), 0
+	for name := range c.state.Members {
+		if keyspace.NewHash(service+"/"+name) < self {
+			before++
 		}
-		return c.propose("coordinator/"+v.Name, record.CoordinatorClaimed{Service: v.Name, Term: v.Term + 1}, now)
 	}
-	if v.Coordinator != c.self {
+	return now.Sub(since) >= time.Duration(before)*claimStep
+}
+
+// coordinate decides what is to change in v, one record at a time.
+func (c *Core) coordinate(v *state.Service, now time.Time) []Effect {
+	if !c.planState(v.Name).due(c.state.Next, now) {
 		return nil
 	}
-	if rows := c.misplaced(v); len(rows) > 0 {
-		return c.propose("service/"+v.Name, record.ServersPlaced{Service: v.Name, Term: v.Term, Base: v.Version, Servers: rows}, now)
+	subject := "service/" + v.Name
+	c.forgetStale(subject, v.Version)
+	if rows, removed := c.misplaced(v, now), c.removable(v, now); len(rows)+len(removed) > 0 {
+		return c.propose(subject, record.ServersPlaced{Service: v.Name, Term: v.Term, Base: v.Version, Servers: rows, Removed: removed}, now)
+	}
+	if v.Removed {
+		return nil
 	}
-	if ranges := freeSlots(v); len(ranges) > 0 {
-		return c.propose("service/"+v.Name, record.SlotsAssigned{Service: v.Name, Term: v.Term, Base: v.Version, Ranges: ranges}, now)
+	if change := c.plan(v, now); !change.empty() {
+		return c.propose(subject, record.SlotsAssigned{Service: v.Name, Term: v.Term, Base: v.Version, Ranges: change.ranges, Keys: change.keys}, now)
 	}
 	return nil
 }
 
-// misplaced returns a row for each backend server that is new, changed, or
-// without a dispatcher.
-func (c *Core) misplaced(v *state.Service) []record.ServerRow {
-	var rows []record.ServerRow
-	load := c.dispatcherLoad()
+// forgetStale ends the wait for a record whose base has passed: it can't be
+// accepted any more.
+func (c *Core) forgetStale(subject string, version uint64) {
+	p, ok := c.pending[subject]
+	if !ok {
+		return
+	}
+	switch b := p.record.Body.(type) {
+	case record.ServersPlaced:
+		ok = b.Base == version
+	case record.SlotsAssigned:
+		ok = b.Base == version
+	}
+	if !ok {
+		delete(c.pending, subject)
+	}
+}
+
+// misplaced returns a row for each backend server that is new, changed, gone,
+// or without a dispatcher.
+func (c *Core) misplaced(v *state.Service, now time.Time) []record.ServerRow {
+	wanted := map[string]record.ServerRow{}
+	for name, s := range v.Servers {
+		row := s.Row
+		row.Leaving = row.Leaving || c.gone(v.Name, name, now)
+		wanted[name] = row
+	}
 	for _, l := range c.listed {
-		if l.Service != v.Name {
-			continue
-		}
-		old := v.Servers[l.Name].Row
-		row := record.ServerRow{
-			Name: l.Name, Address: l.Address, Region: l.Region, FailureDomain: l.FailureDomain,
-			Dispatcher: old.Dispatcher, Leaving: l.Leaving,
+		if l.Service == v.Name && !v.Removed {
+			wanted[l.Name] = record.ServerRow{
+				Name: l.Name, Address: l.Address, Region: l.Region, FailureDomain: l.FailureDomain,
+				Dispatcher: v.Servers[l.Name].Row.Dispatcher, Leaving: l.Leaving, Capacity: l.Capacity,
+			}
 		}
+	}
+	var rows []record.ServerRow
+	load := c.dispatcherLoad()
+	for _, name := range slices.Sorted(maps.Keys(wanted)) {
+		row := wanted[name]
 		if !c.state.IsMember(row.Dispatcher) {
-			row.Dispatcher = c.pickDispatcher(l.Region, l.FailureDomain, load)
+			row.Dispatcher = c.pickDispatcher(row.Region, row.FailureDomain, load)
 			load[row.Dispatcher.Instance]++
 		}
-		if row != old {
+		if row != v.Servers[name].Row {
 			rows = append(rows, row)
 		}
 	}
 	return rows
 }
 
+// removable returns the backend servers that are gone from the list and own
+// nothing.
+func (c *Core) removable(v *state.Service, now time.Time) []string {
+	var out []string
+	for _, name := range v.ServerNames() {
+		if c.gone(v.Name, name, now) && v.Servers[name].Row.Leaving && !v.OwnsAny(name) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // dispatcherLoad counts the backend servers that each member dispatches to.
 func (c *Core) dispatcherLoad() map[string]int {
 	load := map[string]int{}
@@ -94,41 +203,3 @@
 	})
 	return c.state.Members[names[0]].Writer
 }
-
-// freeSlots spreads the slots without an owner over the servers that are up,
-// the one with the fewest slots first.
-func freeSlots(v *state.Service) []record.SlotRange {
-	count := map[string]int{}
-	for _, row := range v.Slots {
-		count[row.Owner]++
-	}
-	var up []string
-	for _, n := range v.ServerNames() {
-		if s := v.Servers[n]; s.Up && !s.Row.Leaving {
-			up = append(up, n)
-		}
-	}
-	if len(up) == 0 {
-		return nil
-	}
-	var out []record.SlotRange
-	for i, row := range v.Slots {
-		if row.Owner != "" {
-			continue
-		}
-		least := up[0]
-		for _, n := range up[1:] {
-			if count[n] < count[least] {
-				least = n
-			}
-		}
-		count[least]++
-		slot := keyspace.Slot(i)
-		if n := len(out); n > 0 && out[n-1].Server == least && out[n-1].Last+1 == slot {
-			out[n-1].Last = slot
-			continue
-		}
-		out = append(out, record.SlotRange{First: slot, Last: slot, Server: least})
-	}
-	return out
-}
--- a/core/control/grants.go
+++ b/core/control/grants.go
@@ -26,9 +26,10 @@
 	asked       time.Time
 	heard       time.Time
 	tried       time.Time
-	lapsed      time.Time          // by then every grant sent has surely lapsed
-	held        []record.SlotRange // slots that move away and take no new work
-	drained     bool               // the held slots have no work in flight
+	lapsed      time.Time // by then every grant sent has surely lapsed
+	leaving     bool      // as the backend server said last
+	handover    handover
+	share       share
 }
 
 // decideGrants renews the grants of the backend servers that the instance
@@ -50,15 +51,12 @@
 
 func (c *Core) decideServer(v *state.Service, server state.Server, now time.Time) []Effect {
 	g := c.grant(v.Name, server, now)
-	var out []Effect
-	if moving := movingFrom(v, server.Row.Name); len(moving) > 0 && len(g.held) == 0 {
-		g.held, g.drained = moving, false
-		out = append(out, HoldSlots{Service: v.Name, Server: server.Row.Name, Ranges: moving, Limit: c.state.Configuration.Timing.DrainLimit.Std()})
-	}
+	g.share.update(v, server.Row.Name)
+	out := c.decideHandover(v, server, g, now)
 	if server.Up && now.After(g.lapsed) {
 		out = append(out, c.report(v, server, false, 0, now)...)
 	}
-	if now.Sub(g.tried) < c.state.Configuration.Timing.GrantRenewal.Std() {
+	if v.Removed || now.Sub(g.tried) < c.state.Configuration.Timing.GrantRenewal.Std() {
 		return out
 	}
 	return append(out, c.sendGrant(v, server, g, now))
@@ -71,6 +69,9 @@
 	g, ok := c.grants[key]
 	if !ok || g.epoch != server.Epoch {
 		g = &grantState{epoch: server.Epoch, lapsed: now.Add(c.surely(2 * c.ttl()))}
+		if server.Up {
+			g.handover.notBefore = now.Add(c.surely(c.patience(service)))
+		}
 		c.grants[key] = g
 	}
 	return g
@@ -88,10 +89,8 @@
 	if g.incarnation != 0 && !silent {
 		grant.Incarnation = g.incarnation
 		grant.UntilMicros = g.clock + (now.Sub(g.asked) + c.ttl()).Microseconds()
-		grant.Slots = v.OwnedBy(server.Row.Name)
-		if g.drained {
-			grant.Slots = subtract(grant.Slots, g.held)
-		}
+		g.share.update(v, server.Row.Name)
+		g.handover.fill(&grant, &g.share, len(v.Slots))
 		if lapsed := g.heard.Add(c.surely(now.Sub(g.asked) + c.ttl())); lapsed.After(g.lapsed) {
 			g.lapsed = lapsed
 		}
@@ -106,6 +105,7 @@
 	}
 	v := c.state.Services[e.Service]
 	server := v.Servers[e.Server]
+	g.leaving = e.Answer.Leaving
 	if g.incarnation != e.Answer.Incarnation {
 		return c.newRun(v, server, g, e, now)
 	}
@@ -119,13 +119,14 @@
 	valid := time.Duration(e.Grant.UntilMicros-clock) * time.Microsecond
 	out := []Effect{Authorize{
 		Service: e.Service, Server: e.Server, Epoch: g.epoch, Incarnation: g.incarnation,
-		Until: asked.Add(c.atMost(valid)), Granted: e.Grant.Slots, Held: g.held,
+		Until: asked.Add(c.atMost(valid)), Granted: e.Grant.Slots, Held: g.handover.slots,
+		Keys: e.Grant.Keys, Except: e.Grant.Except, HeldKeys: g.handover.keys,
 	}}
-	if !server.Up {
+	if !server.Up || server.Leaving != g.leaving {
 		out = append(out, c.report(v, server, true, g.incarnation, now)...)
 	}
-	if g.drained && len(g.held) > 0 && disjoint(e.Grant.Slots, g.held) {
-		out = append(out, c.releaseHeld(v, g, now)...)
+	if g.handover.revokedBy(e.Grant, len(v.Slots)) {
+		out = append(out, c.release(v, server, g, now)...)
 	}
 	return out
 }
@@ -147,25 +148,10 @@
 
 func (c *Core) report(v *state.Service, server state.Server, up bool, run uint64, now time.Time) []Effect {
 	body := record.ServerReported{Service: v.Name, Server: server.Row.Name, Epoch: server.Epoch, Up: up, Incarnation: run}
-	return c.propose("server/"+v.Name+"/"+server.Row.Name, body, now)
-}
-
-func (c *Core) drained(e SlotsDrained, now time.Time) []Effect {
-	g, ok := c.grants[serverKey{service: e.Service, server: e.Server}]
-	if !ok || len(g.held) == 0 {
-		return nil
+	if g, ok := c.grants[serverKey{service: v.Name, server: server.Row.Name}]; ok {
+		body.Leaving = g.leaving
 	}
-	v := c.state.Services[e.Service]
-	g.drained = true
-	return []Effect{c.sendGrant(v, v.Servers[e.Server], g, now)}
-}
-
-// releaseHeld records that the backend server gave up the held slots.
-func (c *Core) releaseHeld(v *state.Service, g *grantState, now time.Time) []Effect {
-	held := g.held
-	g.held, g.drained = nil, false
-	server := held[0].Server
-	return c.propose("release/"+v.Name+"/"+server, record.SlotsReleased{Service: v.Name, Epoch: g.epoch, Ranges: held}, now)
+	return c.propose("server/"+v.Name+"/"+server.Row.Name, body, now)
 }
 
 func (c *Core) ttl() time.Duration { return c.state.Configuration.Timing.Grant.Std() }
@@ -181,21 +167,3 @@
 	drift := time.Duration(c.state.Configuration.Timing.DriftPerMil)
 	return d * 1000 / (1000 + drift)
 }
-
-// movingFrom returns the slots that server owns and that have a next owner.
-func movingFrom(v *state.Service, server string) []record.SlotRange {
-	var out []record.SlotRange
-	for _, r := range v.OwnedBy(server) {
-		for i := r.First; i <= r.Last; i++ {
-			if v.Slots[i].Next == "" {
-				continue
-			}
-			if n := len(out); n > 0 && out[n-1].Last+1 == i {
-				out[n-1].Last = i
-				continue
-			}
-			out = append(out, record.SlotRange{First: i, Last: i, Server: server})
-		}
-	}
-	return out
-}
--- /dev/null
+++ b/core/control/handover.go
@@ -0,0 +1,140 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"bronzewind.example/core/backend"
+	"bronzewind.example/core/keyspace"
+	"bronzewind.example/core/record"
+	"bronzewind.example/core/state"
+)
+
+type (
+	// share is what a backend server owns at a version of its service.
+	share struct {
+		known   bool
+		version uint64
+		slots   []record.SlotRange
+		keys    []keyspace.Hash // hot keys with rows of the server
+		except  []keyspace.Hash // hot keys of its slots with rows of others
+		leaving ownership       // that has a next owner
+	}
+
+	// ownership is a set of slots and hot keys, each in order.
+	ownership struct {
+		slots []record.SlotRange
+		keys  []keyspace.Hash
+	}
+
+	// handover is the planned move of slots and hot keys away from a backend
+	// server: work is held, then the work in flight ends, then a grant without
+	// them is accepted, then the release is recorded. They stay held and
+	// ungranted until the state shows the release, or the end of the move.
+	handover struct {
+		ownership           // held; empty when nothing is handed over
+		number    uint64    // of the hold
+		drained   bool      // no work of what is held is in flight
+		sequence  uint64    // of the last grant sent before it was drained
+		notBefore time.Time // work of an earlier dispatcher may be in flight until then
+	}
+)
+
+// update brings s up to date with v.
+func (s *share) update(v *state.Service, server string) {
+	if s.known && s.version == v.Version {
+		return
+	}
+	*s = share{known: true, version: v.Version}
+	s.slots = v.OwnedBy(server)
+	s.keys, s.except = v.KeysOwnedBy(server)
+	for _, r := range s.slots {
+		for i := r.First; i <= r.Last; i++ {
+			if v.Slots[i].Next != "" {
+				s.leaving.slots = appendSlot(s.leaving.slots, i, server)
+			}
+		}
+	}
+	s.leaving.keys = v.MovingFrom(server)
+}
+
+func (o ownership) empty() bool { return len(o.slots)+len(o.keys) == 0 }
+
+// decideHandover starts to hand over what has a next owner, and lets go of
+// what has moved or is not to move any more.
+func (c *Core) decideHandover(v *state.Service, server state.Server, g *grantState, now time.Time) []Effect {
+	h := &g.handover
+	h.slots = intersect(h.slots, g.share.leaving.slots)
+	h.keys = slices.DeleteFunc(slices.Clone(h.keys), func(k keyspace.Hash) bool { return !slices.Contains(g.share.leaving.keys, k) })
+	if !h.empty() || g.share.leaving.empty() || now.Before(h.notBefore) {
+		return nil
+	}
+	c.holds++
+	h.ownership, h.number, h.drained = g.share.leaving, c.holds, false
+	return []Effect{HoldSlots{
+		Service: v.Name, Server: server.Row.Name, Hold: h.number, Ranges: h.slots, Keys: h.keys,
+		Limit: c.state.Configuration.Timing.DrainLimit.Std(),
+	}}
+}
+
+// drained revokes what is held: the next grant goes out without it.
+func (c *Core) drained(e SlotsDrained, now time.Time) []Effect {
+	g, ok := c.grants[serverKey{service: e.Service, server: e.Server}]
+	v, configured := c.state.Services[e.Service]
+	if !ok || !configured || g.handover.empty() || e.Hold != g.handover.number || g.handover.drained {
+		return nil
+	}
+	g.handover.drained, g.handover.sequence = true, g.sequence
+	return []Effect{c.sendGrant(v, v.Servers[e.Server], g, now)}
+}
+
+// fill writes into grant what s holds, but for what is drained.
+func (h *handover) fill(grant *backend.Grant, s *share, slots int) {
+	grant.Slots, grant.Keys, grant.Except = s.slots, s.keys, s.except
+	if !h.drained || h.empty() {
+		return
+	}
+	grant.Slots = subtract(s.slots, h.slots)
+	grant.Keys = slices.DeleteFunc(slices.Clone(s.keys), func(k keyspace.Hash) bool { return slices.Contains(h.keys, k) })
+	for _, k := range h.keys {
+		if covers(grant.Slots, k.Slot(slots)) {
+			grant.Except = append(slices.Clone(grant.Except), k)
+		}
+	}
+}
+
+// revokedBy reports whether the grant was sent after the drain and gives
+// nothing that is held.
+func (h *handover) revokedBy(grant backend.Grant, slots int) bool {
+	if !h.drained || h.empty() || grant.Sequence <= h.sequence || !disjoint(grant.Slots, h.slots) {
+		return false
+	}
+	return !slices.ContainsFunc(h.keys, func(k keyspace.Hash) bool { return grant.Covers(k, k.Slot(slots)) })
+}
+
+// release records that the backend server gave up what is held.
+func (c *Core) release(v *state.Service, server state.Server, g *grantState, now time.Time) []Effect {
+	name := server.Row.Name
+	body := record.SlotsReleased{Service: v.Name, Epoch: g.epoch, Ranges: g.handover.slots, Through: v.Version}
+	for _, k := range g.handover.keys {
+		body.Keys = append(body.Keys, record.KeyRow{Hash: k, Server: name})
+	}
+	return c.propose("release/"+v.Name+"/"+name, body, now)
+}
+
+// patience returns the longest deadline of the service's work.
+func (c *Core) patience(service string) time.Duration {
+	conf, ok := c.state.Configuration.Service(service)
+	if !ok {
+		return 0
+	}
+	longest := time.Duration(0)
+	for _, k := range conf.Kinds {
+		longest = max(longest, k.Patience.Std())
+	}
+	return longest
+}
+
+func covers(rs []record.SlotRange, slot keyspace.Slot) bool {
+	return slices.ContainsFunc(rs, func(r record.SlotRange) bool { return r.First <= slot && slot <= r.Last })
+}
--- /dev/null
+++ b/core/control/log.go
@@ -0,0 +1,119 @@
+package control
+
+import (
+	"fmt"
+	"time"
+
+	"bronzewind.example/core/keyspace"
+	"bronzewind.example/core/record"
+	"bronzewind.example/core/route"
+	"bronzewind.example/core/state"
+)
+
+const (
+	// appendRetry is the wait before a record that was not read back is
+	// appended again under the same ID; it doubles up to maxAppendRetry.
+	appendRetry    = 300 * time.Millisecond
+	maxAppendRetry = 32 * time.Second
+	maxDoublings   = 8
+
+	// jitterSteps is the number of different retry times within a wait.
+	jitterSteps = 1 << 10
+)
+
+// read folds entries and publishes the new snapshot.
+func (c *Core) read(e RecordsRead) []Effect {
+	before := c.state.Next
+	end := e.First + uint64(len(e.Entries))
+	if !e.CaughtUp {
+		end++ // there is more to read
+	}
+	var out []Effect
+	for _, f := range c.log.Read(e.First, end, e.Entries) {
+		out = append(out, c.folded(f)...)
+	}
+	c.state = c.log.State
+	c.oldest = max(c.oldest, e.Oldest)
+	next := c.log.Next()
+	switch {
+	case next != e.First+uint64(len(e.Entries)):
+		out = append(out, ReadLog{From: next})
+	case e.CaughtUp && c.log.Whole():
+		c.caughtUp = true
+	}
+	if c.state.Next == before {
+		return out
+	}
+	return append(out, c.setTable()...)
+}
+
+func (c *Core) setTable() []Effect {
+	if t := route.NewTable(c.state); t != nil {
+		return []Effect{SetTable{Table: t}}
+	}
+	return nil
+}
+
+// folded ends the wait for a record that was read back.
+func (c *Core) folded(f state.Folded) []Effect {
+	if f.Err != nil {
+		return []Effect{Log{Message: "record skipped", Detail: f.Err.Error()}}
+	}
+	for subject, p := range c.pending {
+		if p.record.ID == f.Record.ID {
+			delete(c.pending, subject)
+		}
+	}
+	if f.Verdict == state.Accepted {
+		return nil
+	}
+	return []Effect{Log{Message: "record not accepted", Detail: f.Record.ID + " " + f.Verdict.String() + " " + c.state.Reason()}}
+}
+
+// truncated starts to look for a checkpoint when records that the instance
+// never read have lapsed.
+func (c *Core) truncated(e LogTruncated) []Effect {
+	c.log.Truncated(e.Oldest)
+	return []Effect{
+		Log{Message: "log truncated", Detail: fmt.Sprintf("oldest offset %d, folded up to %d", e.Oldest, c.state.Next)},
+		ReadLog{From: c.log.Next()},
+	}
+}
+
+// adopt takes the state of another instance when it is later than the own one.
+func (c *Core) adopt(e SnapshotReceived) []Effect {
+	s, err := state.Decode(e.Data)
+	if err != nil {
+		return []Effect{Log{Message: "snapshot of a peer not taken", Detail: err.Error()}}
+	}
+	if !c.log.Adopt(s) {
+		return nil
+	}
+	c.state = c.log.State
+	return append(c.setTable(), ReadLog{From: c.log.Next()})
+}
+
+// propose appends body about subject, unless an earlier record about it is
+// still on its way; that one is sent again under its own ID after a time.
+func (c *Core) propose(subject string, body record.Body, now time.Time) []Effect {
+	if p, ok := c.pending[subject]; ok {
+		if now.Sub(p.sent) < retryWait(p.record.ID, p.tries) {
+			return nil
+		}
+		c.pending[subject] = pending{record: p.record, tries: p.tries + 1, sent: now}
+		return []Effect{Append{Record: p.record}}
+	}
+	c.sequence++
+	r := record.Record{ID: fmt.Sprintf("%s/%d", c.self, c.sequence), Writer: c.self, Since: c.state.Next, Body: body}
+	c.pending[subject] = pending{record: r, sent: now}
+	return []Effect{Append{Record: r}}
+}
+
+// retryWait returns the wait before the next append of the record called id.
+// It differs between records, so that they don't come all at once after an
+// outage of the log.
+func retryWait(id string, tries int) time.Duration {
+	wait := min(appendRetry<<min(tries, maxDoublings), maxAppendRetry)
+	step := time.Duration(keyspace.NewHash(id).Slot(jitterSteps))
+	return wait + wait*step/jitterSteps
+}
--- a/core/control/ranges.go
+++ b/core/control/ranges.go
@@ -29,6 +29,11 @@
 	return append(out, r)
 }
 
+// intersect returns the slots of a that are also in b, as ranges in order.
+func intersect(a, b []record.SlotRange) []record.SlotRange {
+	return subtract(a, subtract(a, b))
+}
+
 // disjoint reports whether no slot is in both a and b.
 func disjoint(a, b []record.SlotRange) bool {
 	for _, r := range a {
--- a/core/platform/http.go
+++ b/core/platform/http.go
@@ -17,6 +17,9 @@
 	// ListPath is where the list of backend servers answers.
 	ListPath = "/instances"
 
+	// OldestHeader names the oldest record when the one asked for has lapsed.
+	OldestHeader = "Log-Oldest"
+
 	maxAnswerBytes = 64 << 20
 )
 
@@ -29,6 +32,7 @@
 // batchAnswer is the wire format of a read.
 type batchAnswer struct {
 	Oldest  uint64   `json:"oldest"`
+	End     uint64   `json:"end"`
 	First   uint64   `json:"first"`
 	Entries [][]byte `json:"entries"`
 }
@@ -76,7 +80,11 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode == http.StatusGone {
-		return ErrTruncated
+		oldest, err := strconv.ParseUint(resp.Header.Get(OldestHeader), 10, 64)
+		if err != nil {
+			return fmt.Errorf("platform: %s %s answered %s without %s", method, path, resp.Status, OldestHeader)
+		}
+		return &TruncatedError{Oldest: oldest}
 	}
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("platform: %s %s answered %s", method, path, resp.Status)
--- a/core/platform/platform.go
+++ b/core/platform/platform.go
@@ -5,7 +5,7 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
 	"time"
 )
 
@@ -16,13 +16,14 @@
 		// or may not have been added.
 		Append(ctx context.Context, data []byte) (offset uint64, err error)
 		// Read returns the records from offset on, waiting up to wait for the
-		// first. It returns ErrTruncated when offset is no longer kept.
+		// first. It returns a *TruncatedError when offset is no longer kept.
 		Read(ctx context.Context, offset uint64, wait time.Duration) (Batch, error)
 	}
 
 	// Batch is a run of records; Entries[i] has offset First+i.
 	Batch struct {
 		Oldest  uint64 // offset of the oldest record still kept
+		End     uint64 // offset after the newest record at the time of the answer
 		First   uint64
 		Entries [][]byte
 	}
@@ -40,8 +41,16 @@
 		Region        string `json:"region"`
 		FailureDomain string `json:"failure-domain"`
 		Leaving       bool   `json:"leaving"`
+		Capacity      int    `json:"capacity,omitempty"` // requests run at once; 0 means as configured
 	}
 )
 
-// ErrTruncated means that the log no longer keeps the offset asked for.
-var ErrTruncated = errors.New("log no longer keeps this offset")
+// TruncatedError means that the log no longer keeps the offset asked for.
+type TruncatedError struct {
+	Oldest uint64 // offset of the oldest record still kept
+}
+
+// Error names the oldest record.
+func (e *TruncatedError) Error() string {
+	return fmt.Sprintf("the log no longer keeps this offset; its oldest record is %d", e.Oldest)
+}
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -3,8 +3,10 @@
 package record
 
 import (
+	"encoding/binary"
 	"fmt"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"bronzewind.example/core/keyspace"
@@ -21,6 +23,7 @@
 	Record struct {
 		ID     string // unique for each intended change; a repeat has the same ID
 		Writer Writer
+		Since  uint64 // offset up to which the writer had read when it made the record
 		Body   Body
 	}
 
@@ -71,6 +74,7 @@
 		FailureDomain string `cbor:"4,keyasint"`
 		Dispatcher    Writer `cbor:"5,keyasint"`
 		Leaving       bool   `cbor:"6,keyasint"`
+		Capacity      int    `cbor:"7,keyasint,omitempty"` // requests run at once; 0 means the service's server-slots
 	}
 
 	// ServerReported says whether a backend server answers its dispatcher, who
@@ -81,16 +85,25 @@
 		Server      string `cbor:"2,keyasint"`
 		Epoch       uint64 `cbor:"3,keyasint"` // of the writer's dispatcher role
 		Up          bool   `cbor:"4,keyasint"`
-		Incarnation uint64 `cbor:"5,keyasint"` // run of the backend server
+		Incarnation uint64 `cbor:"5,keyasint"`           // run of the backend server
+		Leaving     bool   `cbor:"6,keyasint,omitempty"` // it says that it is to be emptied
 	}
 
-	// ServersPlaced adds or changes backend servers and their dispatchers;
-	// void unless Term is current and Base is the service's version.
+	// ServersPlaced adds or changes backend servers and their dispatchers, and
+	// removes those that own nothing; void unless Term is current and Base is
+	// the service's version.
 	ServersPlaced struct {
 		Service string      `cbor:"1,keyasint"`
 		Term    uint64      `cbor:"2,keyasint"`
 		Base    uint64      `cbor:"3,keyasint"`
 		Servers []ServerRow `cbor:"4,keyasint"`
+		Removed []string    `cbor:"5,keyasint,omitempty"`
+	}
+
+	// KeyRow is one hot key, which has a row of its own.
+	KeyRow struct {
+		Hash   keyspace.Hash `cbor:"1,keyasint"`
+		Server string        `cbor:"2,keyasint"`
 	}
 
 	// SlotRange is slots First to Last, both included.
@@ -102,20 +115,35 @@
 
 	// SlotsAssigned gives free slots to backend servers, and names the next
 	// owner of owned ones, which then move; void unless Term is current and
-	// Base is the service's version.
+	// Base is the service's version. A key without a row gets one, owned by
+	// the owner of its slot; a row of no server ends, and the key is owned with
+	// its slot again.
 	SlotsAssigned struct {
 		Service string      `cbor:"1,keyasint"`
 		Term    uint64      `cbor:"2,keyasint"`
 		Base    uint64      `cbor:"3,keyasint"`
 		Ranges  []SlotRange `cbor:"4,keyasint"`
+		Keys    []KeyRow    `cbor:"5,keyasint,omitempty"`
 	}
 
-	// SlotsReleased says that the old grants of slots have lapsed or were
-	// revoked; only the dispatcher of their owner may write it.
+	// SlotsReleased says that the old grants of slots and keys have lapsed or
+	// were revoked; only the dispatcher of their owner may write it. It ends no
+	// ownership or move that began after version Through.
 	SlotsReleased struct {
 		Service string      `cbor:"1,keyasint"`
 		Epoch   uint64      `cbor:"2,keyasint"` // of the writer's dispatcher role
 		Ranges  []SlotRange `cbor:"3,keyasint"` // Server is the owner that released
+		Through uint64      `cbor:"4,keyasint"` // version of the service that the writer had folded
+		Keys    []KeyRow    `cbor:"5,keyasint,omitempty"`
+	}
+
+	// CheckpointPart is one part of the whole state as it was before the record
+	// at Offset. The parts of a checkpoint are written in order by one writer.
+	CheckpointPart struct {
+		Offset uint64 `cbor:"1,keyasint"`
+		Part   int    `cbor:"2,keyasint"` // from 0
+		Parts  int    `cbor:"3,keyasint"`
+		Data   []byte `cbor:"4,keyasint"`
 	}
 )
 
@@ -129,6 +157,16 @@
 	kindSlotsAssigned
 	kindSlotsReleased
 	kindServerReported
+
+	kindCheckpointPart uint = 20
+)
+
+const (
+	// sumBytes is the length of the checksum that ends each record.
+	sumBytes = 8
+
+	// firstIgnorableKind begins the kinds that change no state.
+	firstIgnorableKind = 1 << 16
 )
 
 func (ConfigurationPublished) kind() uint { return kindConfigurationPublished }
@@ -140,15 +178,23 @@
 func (SlotsAssigned) kind() uint          { return kindSlotsAssigned }
 func (SlotsReleased) kind() uint          { return kindSlotsReleased }
 func (ServerReported) kind() uint         { return kindServerReported }
+func (CheckpointPart) kind() uint         { return kindCheckpointPart }
 
 // String returns instance and incarnation.
 func (w Writer) String() string { return fmt.Sprintf("%s#%d", w.Instance, w.Incarnation) }
 
+// Timely reports whether a record at offset was made at most window offsets
+// before.
+func (r Record) Timely(offset, window uint64) bool {
+	return r.Since <= offset && offset-r.Since <= window
+}
+
 type envelope struct {
 	ID     string          `cbor:"1,keyasint"`
 	Writer Writer          `cbor:"2,keyasint"`
 	Kind   uint            `cbor:"3,keyasint"`
 	Body   cbor.RawMessage `cbor:"4,keyasint"`
+	Since  uint64          `cbor:"5,keyasint"`
 }
 
 // Encode returns the bytes of r as they stand in the log.
@@ -157,29 +203,57 @@
 	if err != nil {
 		return nil, fmt.Errorf("record %s: %w", r.ID, err)
 	}
-	return cbor.Marshal(envelope{ID: r.ID, Writer: r.Writer, Kind: r.Body.kind(), Body: body})
+	data, err := cbor.Marshal(envelope{ID: r.ID, Writer: r.Writer, Kind: r.Body.kind(), Body: body, Since: r.Since})
+	if err != nil {
+		return nil, fmt.Errorf("record %s: %w", r.ID, err)
+	}
+	return binary.BigEndian.AppendUint64(data, xxhash.Sum64(data)), nil
 }
 
-// UnknownKindError is a well-formed record of a kind that this program does
-// not know, written by a newer one.
-type UnknownKindError struct {
-	ID   string
-	Kind uint
-}
+type (
+	// UnknownKindError is a well-formed record of a kind that this program does
+	// not know, written by a newer one.
+	UnknownKindError struct {
+		ID   string
+		Kind uint
+	}
+
+	// DamagedError is a record that is not as its writer made it.
+	DamagedError struct {
+		ID    string // "" when it can't be read
+		Fault string
+	}
+)
 
 // Error names the record and its kind.
 func (e *UnknownKindError) Error() string {
 	return fmt.Sprintf("record %s has unknown kind %d", e.ID, e.Kind)
 }
 
-// Decode reads the bytes of a record. A damaged record gives an error; one of
-// an unknown kind an *UnknownKindError.
+// Ignorable reports whether the kind changes no state, so that a program that
+// does not know it can pass over it.
+func (e *UnknownKindError) Ignorable() bool { return e.Kind >= firstIgnorableKind }
+
+// Error names the record and the fault.
+func (e *DamagedError) Error() string {
+	return fmt.Sprintf("record %q is damaged: %s", e.ID, e.Fault)
+}
+
+// Decode reads the bytes of a record. A damaged record gives a *DamagedError,
+// one of an unknown kind an *UnknownKindError.
 func Decode(data []byte) (Record, error) {
+	if len(data) < sumBytes {
+		return Record{}, &DamagedError{Fault: "too short"}
+	}
+	data, sum := data[:len(data)-sumBytes], data[len(data)-sumBytes:]
+	if binary.BigEndian.Uint64(sum) != xxhash.Sum64(data) {
+		return Record{}, &DamagedError{Fault: "wrong checksum"}
+	}
 	var e envelope
 	if err := cbor.Unmarshal(data, &e); err != nil {
-		return Record{}, fmt.Errorf("damaged record: %w", err)
+		return Record{}, &DamagedError{Fault: err.Error()}
 	}
-	r := Record{ID: e.ID, Writer: e.Writer}
+	r := Record{ID: e.ID, Writer: e.Writer, Since: e.Since}
 	var err error
 	switch e.Kind {
 	case kindConfigurationPublished:
@@ -200,11 +274,13 @@
 		r.Body, err = decodeBody[SlotsReleased](e.Body)
 	case kindServerReported:
 		r.Body, err = decodeBody[ServerReported](e.Body)
+	case kindCheckpointPart:
+		r.Body, err = decodeBody[CheckpointPart](e.Body)
 	default:
 		return Record{}, &UnknownKindError{ID: e.ID, Kind: e.Kind}
 	}
 	if err != nil {
-		return Record{}, fmt.Errorf("damaged record %s: %w", e.ID, err)
+		return Record{}, &DamagedError{ID: e.ID, Fault: err.Error()}
 	}
 	return r, nil
 }
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -3,6 +3,8 @@
 package route
 
 import (
+	"math/bits"
+
 	"bronzewind.example/core/config"
 	"bronzewind.example/core/keyspace"
 	"bronzewind.example/core/record"
@@ -26,6 +28,15 @@
 		servers []Server
 		owners  []uint16 // by slot; index into servers, or noServer
 		epochs  []uint64 // by slot; epoch of the ownership
+		hot     []hotRow // hash table with linear probing, a power of two and never full; empty without hot keys
+	}
+
+	// hotRow is a hot key, which is not owned with its slot.
+	hotRow struct {
+		hash  keyspace.Hash
+		epoch uint64
+		owner uint16
+		used  bool
 	}
 
 	// Server is a backend server with the instance that dispatches to it.
@@ -72,16 +83,36 @@
 		index[n] = uint16(i)
 		out.servers = append(out.servers, newServer(s, c.Name, v.Servers[n]))
 	}
-	for i, row := range v.Slots {
-		out.owners[i] = noServer
+	owner := func(row state.SlotRow) uint16 {
 		if k, ok := index[row.Owner]; ok {
-			out.owners[i] = k
+			return k
 		}
-		out.epochs[i] = row.Epoch
+		return noServer
+	}
+	for i, row := range v.Slots {
+		out.owners[i], out.epochs[i] = owner(row), row.Epoch
+	}
+	if len(v.Keys) == 0 {
+		return out
+	}
+	out.hot = make([]hotRow, 1<<bits.Len(uint(2*len(v.Keys))))
+	for h, row := range v.Keys {
+		*out.hotRow(h) = hotRow{hash: h, epoch: row.Epoch, owner: owner(row), used: true}
 	}
 	return out
 }
 
+// hotRow returns the row of h, or the unused one where it would stand. The low
+// bits of a hash choose its slot, so the high bits choose its row.
+func (s *Service) hotRow(h keyspace.Hash) *hotRow {
+	mask := uint64(len(s.hot) - 1)
+	i := uint64(h) >> 32 & mask
+	for s.hot[i].used && s.hot[i].hash != h {
+		i = (i + 1) & mask
+	}
+	return &s.hot[i]
+}
+
 func newServer(s *state.State, service string, v state.Server) Server {
 	out := Server{
 		Service: service, Name: v.Row.Name, Address: v.Row.Address,
@@ -101,20 +132,24 @@
 	return s, ok
 }
 
-// Owner returns the backend server that owns slot and the epoch of the
-// ownership; false while the slot has no owner.
-func (s *Service) Owner(slot keyspace.Slot) (*Server, uint64, bool) {
-	i := s.owners[slot]
-	if i == noServer {
+// Lookup returns the owner of the key with hash h and the epoch of the
+// ownership; false while the key has no owner.
+func (s *Service) Lookup(h keyspace.Hash) (*Server, uint64, bool) {
+	slot := h.Slot(len(s.owners))
+	owner, epoch := s.owners[slot], s.epochs[slot]
+	if len(s.hot) > 0 {
+		if row := s.hotRow(h); row.used {
+			owner, epoch = row.owner, row.epoch
+		}
+	}
+	if owner == noServer {
 		return nil, 0, false
 	}
-	return &s.servers[i], s.epochs[slot], true
+	return &s.servers[owner], epoch, true
 }
 
-// Lookup returns the owner of the key with hash h.
-func (s *Service) Lookup(h keyspace.Hash) (*Server, uint64, bool) {
-	return s.Owner(h.Slot(len(s.owners)))
-}
+// Hot reports whether the key with hash h has a row of its own.
+func (s *Service) Hot(h keyspace.Hash) bool { return len(s.hot) > 0 && s.hotRow(h).used }
 
 // Servers returns all backend servers in order of name; it is not to be changed.
 func (s *Service) Servers() []Server { return s.servers }
--- a/core/state/fold.go
+++ b/core/state/fold.go
@@ -1,31 +1,51 @@
 package state
 
 import (
+	"fmt"
+
 	"bronzewind.example/core/config"
+	"bronzewind.example/core/keyspace"
 	"bronzewind.example/core/record"
 )
 
-// Apply folds the record at offset into s and says what became of it. A record
-// that is not accepted leaves all but Next unchanged.
+// Apply folds the record at offset into s and says what became of it; Reason
+// tells why it was not accepted. A record that is not accepted leaves all but
+// Next and Seen's window unchanged.
 func (s *State) Apply(offset uint64, r record.Record) Verdict {
-	s.Next = offset + 1
-	if _, ok := s.seen[r.ID]; ok {
+	s.Next, s.reason = offset+1, ""
+	s.Seen.forget(offset)
+	if !r.Timely(offset, repeatWindow) {
+		return s.refuse(Stale, "the record was made at offset %d", r.Since)
+	}
+	if s.Seen.has(r.ID) {
 		return Repeated
 	}
-	v := s.apply(r)
+	v := s.apply(offset, r)
 	if v == Accepted {
-		s.seen[r.ID] = struct{}{}
+		s.Seen.add(r.ID, offset)
 	}
 	return v
 }
 
-// Skip passes over a record at offset that can't be read.
+// Skip passes over a damaged record at offset: every reader finds it so.
 func (s *State) Skip(offset uint64) { s.Next = offset + 1 }
 
-func (s *State) apply(r record.Record) Verdict {
+// SkipUnknown passes over a record at offset of a kind that this program does
+// not know. Newer readers fold it, so the state can't be relied on any more.
+func (s *State) SkipUnknown(offset uint64) {
+	s.Next = offset + 1
+	s.Unknown++
+}
+
+func (s *State) refuse(v Verdict, format string, args ...any) Verdict {
+	s.reason = fmt.Sprintf(format, args...)
+	return v
+}
+
+func (s *State) apply(offset uint64, r record.Record) Verdict {
 	switch b := r.Body.(type) {
 	case record.ConfigurationPublished:
-		return s.publish(b)
+		return s.publish(offset, b)
 	case record.InstanceJoined:
 		s.Members[r.Writer.Instance] = Member{Writer: r.Writer, Joined: b}
 		return Accepted
@@ -43,36 +63,69 @@
 		return s.release(r.Writer, b)
 	case record.ServerReported:
 		return s.report(r.Writer, b)
+	case record.CheckpointPart:
+		return s.checkpoint(offset, r.Writer, b)
 	default:
 		return Invalid
 	}
 }
 
-func (s *State) publish(b record.ConfigurationPublished) Verdict {
+func (s *State) publish(offset uint64, b record.ConfigurationPublished) Verdict {
 	if b.Base != s.Version() {
-		return Stale
+		return s.refuse(Stale, "version %d is in force, not %d", s.Version(), b.Base)
 	}
 	c, err := config.Parse(b.Document)
-	if err != nil || c.Version != b.Base+1 {
-		return Invalid
+	if err != nil {
+		return s.refuse(Invalid, "%v", err)
+	}
+	if c.Version != b.Base+1 {
+		return s.refuse(Invalid, "version %d does not follow %d", c.Version, b.Base)
 	}
-	s.Configuration = c
-	s.Author = b.Author
 	for i := range c.Services {
-		s.configureService(&c.Services[i])
+		n := &c.Services[i]
+		if v, ok := s.Services[n.Name]; ok && len(v.Slots) != n.Slots {
+			return s.refuse(Invalid, "service %s has %d slots, which can't change to %d", n.Name, len(v.Slots), n.Slots)
+		}
+	}
+	s.Configuration, s.Author = c, b.Author
+	for i := range c.Services {
+		s.configureService(offset, &c.Services[i])
+	}
+	for _, v := range s.ServicesInOrder() {
+		if _, ok := c.Service(v.Name); !ok {
+			v.Removed = true
+			s.endRemoved(v)
+		}
 	}
 	return Accepted
 }
 
-func (s *State) configureService(c *config.Service) {
+// configureService adds the service of c, or keeps it. The version of a new
+// service starts at the offset, above all versions of an earlier service of
+// that name.
+func (s *State) configureService(offset uint64, c *config.Service) {
 	v, ok := s.Services[c.Name]
 	if !ok {
-		v = &Service{Name: c.Name, Servers: map[string]Server{}}
+		v = &Service{
+			Name: c.Name, Term: offset, Version: offset,
+			Servers: map[string]Server{}, Keys: map[keyspace.Hash]SlotRow{}, Slots: make(Slots, c.Slots),
+		}
 		s.Services[c.Name] = v
 	}
-	if len(v.Slots) == 0 {
-		v.Slots = make([]SlotRow, c.Slots)
+	v.Removed = false
+}
+
+// endRemoved drops a removed service once no grant of it can hold.
+func (s *State) endRemoved(v *Service) {
+	if !v.Removed {
+		return
+	}
+	for _, server := range v.Servers {
+		if server.Up {
+			return
+		}
 	}
+	delete(s.Services, v.Name)
 }
 
 func (s *State) removeMember(w record.Writer) Verdict {
@@ -86,10 +139,10 @@
 func (s *State) claim(w record.Writer, b record.CoordinatorClaimed) Verdict {
 	v, ok := s.Services[b.Service]
 	if !ok || !s.IsMember(w) {
-		return Invalid
+		return s.refuse(Invalid, "%s is no member, or service %q does not exist", w, b.Service)
 	}
 	if b.Term != v.Term+1 {
-		return Stale
+		return s.refuse(Stale, "term %d does not follow %d", b.Term, v.Term)
 	}
 	v.Term, v.Coordinator = b.Term, w
 	return Accepted
@@ -99,10 +152,10 @@
 func (s *State) current(w record.Writer, service string, term, base uint64) (*Service, Verdict) {
 	v, ok := s.Services[service]
 	if !ok {
-		return nil, Invalid
+		return nil, s.refuse(Invalid, "service %q does not exist", service)
 	}
 	if v.Coordinator != w || v.Term != term || v.Version != base {
-		return nil, Stale
+		return nil, s.refuse(Stale, "term %d is current and version %d reached", v.Term, v.Version)
 	}
 	return v, Accepted
 }
@@ -114,18 +167,26 @@
 	}
 	for _, row := range b.Servers {
 		if !s.mayPlace(v.Servers[row.Name], row) {
-			return Invalid
+			return s.refuse(Invalid, "server %s can't be placed under %s", row.Name, row.Dispatcher)
+		}
+	}
+	for _, name := range b.Removed {
+		if v.OwnsAny(name) {
+			return s.refuse(Invalid, "server %s owns slots or keys", name)
 		}
 	}
 	v.Version++
 	for _, row := range b.Servers {
 		old := v.Servers[row.Name]
-		next := Server{Row: row, Epoch: old.Epoch, Up: old.Up, Run: old.Run}
+		next := Server{Row: row, Epoch: old.Epoch, Up: old.Up, Run: old.Run, Leaving: old.Leaving}
 		if old.Row.Dispatcher != row.Dispatcher {
 			next.Epoch = v.Version
 		}
 		v.Servers[row.Name] = next
 	}
+	for _, name := range b.Removed {
+		delete(v.Servers, name)
+	}
 	return Accepted
 }
 
@@ -140,91 +201,21 @@
 	return same || vacant
 }
 
-func (s *State) assign(w record.Writer, b record.SlotsAssigned) Verdict {
-	v, verdict := s.current(w, b.Service, b.Term, b.Base)
-	if verdict != Accepted {
-		return verdict
-	}
-	for _, r := range b.Ranges {
-		if !v.Servers[r.Server].Up || r.First > r.Last || int(r.Last) >= len(v.Slots) {
-			return Invalid
-		}
-	}
-	v.Version++
-	for _, r := range b.Ranges {
-		for i := r.First; i <= r.Last; i++ {
-			v.Slots[i] = v.Slots[i].withNext(r.Server, v.Version)
-		}
-	}
-	return Accepted
-}
-
-// withNext gives a free slot to server at once; an owned one starts to move.
-func (r SlotRow) withNext(server string, epoch uint64) SlotRow {
-	switch r.Owner {
-	case "":
-		return SlotRow{Owner: server, Epoch: epoch}
-	case server:
-		return SlotRow{Owner: server, Epoch: r.Epoch}
-	default:
-		return SlotRow{Owner: r.Owner, Next: server, Epoch: r.Epoch}
-	}
-}
-
-func (s *State) release(w record.Writer, b record.SlotsReleased) Verdict {
-	v, ok := s.Services[b.Service]
-	if !ok {
-		return Invalid
-	}
-	for _, r := range b.Ranges {
-		server := v.Servers[r.Server]
-		if server.Row.Dispatcher != w || server.Epoch != b.Epoch {
-			return Stale
-		}
-		if r.First > r.Last || int(r.Last) >= len(v.Slots) {
-			return Invalid
-		}
-	}
-	v.Version++
-	for _, r := range b.Ranges {
-		for i := r.First; i <= r.Last; i++ {
-			if row := v.Slots[i]; row.Owner == r.Server && row.Next != "" {
-				v.Slots[i] = SlotRow{Owner: row.Next, Epoch: v.Version}
-			}
-		}
-	}
-	return Accepted
-}
-
 func (s *State) report(w record.Writer, b record.ServerReported) Verdict {
 	v, ok := s.Services[b.Service]
 	if !ok {
-		return Invalid
+		return s.refuse(Invalid, "service %q does not exist", b.Service)
 	}
 	server, ok := v.Servers[b.Server]
 	if !ok || server.Row.Dispatcher != w || server.Epoch != b.Epoch {
-		return Stale
+		return s.refuse(Stale, "%s does not dispatch to server %s under epoch %d", w, b.Server, b.Epoch)
 	}
 	v.Version++
-	server.Up, server.Run = b.Up, b.Incarnation
+	server.Up, server.Run, server.Leaving = b.Up, b.Incarnation, b.Leaving
 	v.Servers[b.Server] = server
 	if !b.Up {
 		v.freeAll(b.Server)
+		s.endRemoved(v)
 	}
 	return Accepted
 }
-
-// freeAll ends every ownership of server; a slot on the move goes to its next
-// owner when that is up.
-func (v *Service) freeAll(server string) {
-	for i, row := range v.Slots {
-		switch {
-		case row.Owner == server && v.Servers[row.Next].Up:
-			v.Slots[i] = SlotRow{Owner: row.Next, Epoch: v.Version}
-		case row.Owner == server:
-			v.Slots[i] = SlotRow{Epoch: v.Version}
-		case row.Next == server:
-			v.Slots[i].Next = ""
-		}
-	}
-}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -4,6 +4,8 @@
 package state
 
 import (
+	"maps"
+	"slices"
 	"sort"
 
 	"bronzewind.example/core/config"
@@ -20,19 +22,24 @@
 
 	// Server is a backend server under its dispatcher.
 	Server struct {
-		Row   record.ServerRow
-		Epoch uint64 // of the dispatcher role; grows at each change of Dispatcher
-		Up    bool   // as its dispatcher reported; a server that is not up owns nothing
-		Run   uint64 // incarnation that was last reported up
+		Row     record.ServerRow
+		Epoch   uint64 // of the dispatcher role; grows at each change of Dispatcher
+		Up      bool   // as its dispatcher reported; a server that is not up owns nothing
+		Run     uint64 // incarnation that was last reported up
+		Leaving bool   // as its dispatcher reported; Row.Leaving is what the list says
 	}
 
-	// SlotRow is the ownership of one slot.
+	// SlotRow is the ownership of one slot or hot key.
 	SlotRow struct {
 		Owner string // "" while the slot is free
-		Next  string // "" unless the slot moves from Owner to Next
+		Next  string // "" unless the slot moves from Owner to Next; never Owner
 		Epoch uint64 // grows at each change of Owner
+		Move  uint64 // version at which the move to Next began; 0 when Next is ""
 	}
 
+	// Slots holds the rows of a service's slots by slot number.
+	Slots []SlotRow
+
 	// Service is the agreed state of one service.
 	Service struct {
 		Name        string
@@ -40,7 +47,18 @@
 		Coordinator record.Writer
 		Version     uint64 // grows with each accepted change of Servers or Slots
 		Servers     map[string]Server
-		Slots       []SlotRow // length is the configured slot count
+		Slots       Slots                     // length is the configured slot count; it never changes
+		Keys        map[keyspace.Hash]SlotRow // hot keys, which are not owned with their slots
+		Removed     bool                      // no longer configured; it ends when no server is up
+	}
+
+	// Checkpoint is what the fold knows of the checkpoints in the log.
+	Checkpoint struct {
+		Whole   uint64 // offset of the state in the last whole checkpoint; 0 before the first
+		End     uint64 // offset after its last part
+		Offset  uint64 // of the checkpoint whose parts are being written
+		Writer  record.Writer
+		Written int // parts of it so far
 	}
 
 	// State is the whole fold. It is not safe for concurrent use.
@@ -50,7 +68,10 @@
 		Author        string                // of the configuration in force
 		Members       map[string]Member     // by instance name
 		Services      map[string]*Service
-		seen          map[string]struct{} // ids of accepted records
+		Checkpoint    Checkpoint
+		Seen          Seen   // accepted records that can still be repeated
+		Unknown       uint64 // records of unknown kinds so far; above 0 the state can't be relied on
+		reason        string // why the last record was not accepted
 	}
 )
 
@@ -73,7 +94,6 @@
 	return &State{
 		Members:  map[string]Member{},
 		Services: map[string]*Service{},
-		seen:     map[string]struct{}{},
 	}
 }
 
@@ -101,6 +121,54 @@
 	return names
 }
 
+// Reason says why the last record was not accepted, or "".
+func (s *State) Reason() string { return s.reason }
+
+// Emptying reports whether s is to own nothing any more.
+func (s Server) Emptying() bool { return s.Leaving || s.Row.Leaving }
+
+// Row returns the ownership of the key with hash h.
+func (v *Service) Row(h keyspace.Hash) SlotRow {
+	if row, ok := v.Keys[h]; ok {
+		return row
+	}
+	return v.Slots[h.Slot(len(v.Slots))]
+}
+
+// KeysInOrder returns the hashes of all hot keys in order.
+func (v *Service) KeysInOrder() []keyspace.Hash {
+	return slices.Sorted(maps.Keys(v.Keys))
+}
+
+// KeysOwnedBy returns the hot keys that server owns, in order, and those that
+// it does not own though it owns their slots.
+func (v *Service) KeysOwnedBy(server string) (own, except []keyspace.Hash) {
+	for _, h := range v.KeysInOrder() {
+		switch {
+		case v.Keys[h].Owner == server:
+			own = append(own, h)
+		case v.Slots[h.Slot(len(v.Slots))].Owner == server:
+			except = append(except, h)
+		}
+	}
+	return own, except
+}
+
+// OwnsAny reports whether server owns a slot or key, or is to own one next.
+func (v *Service) OwnsAny(server string) bool {
+	for _, row := range v.Slots {
+		if row.Owner == server || row.Next == server {
+			return true
+		}
+	}
+	for _, row := range v.Keys {
+		if row.Owner == server || row.Next == server {
+			return true
+		}
+	}
+	return false
+}
+
 // ServerNames returns the names of all backend servers of v in order.
 func (v *Service) ServerNames() []string {
 	names := make([]string, 0, len(v.Servers))
--- a/lab/backend/backend.go
+++ b/lab/backend/backend.go
@@ -13,7 +13,6 @@
 
 	core "bronzewind.example/core/backend"
 	"bronzewind.example/core/keyspace"
-	"bronzewind.example/core/record"
 )
 
 const (
@@ -57,7 +56,7 @@
 		epoch    uint64
 		sequence uint64
 		until    int64 // microseconds on the own clock
-		granted  []record.SlotRange
+		granted  core.Grant
 		running  int
 		seen     []Start
 	}
@@ -162,7 +161,7 @@
 	case g.Epoch == s.epoch && g.Sequence <= s.sequence:
 		return "sequence is old"
 	}
-	s.epoch, s.sequence, s.until, s.granted = g.Epoch, g.Sequence, g.UntilMicros, g.Slots
+	s.epoch, s.sequence, s.until, s.granted = g.Epoch, g.Sequence, g.UntilMicros, g
 	return ""
 }
 
@@ -172,7 +171,8 @@
 	w.Header().Set(core.IncarnationHeader, strconv.FormatUint(s.incarnation, 10))
 	slot, _ := strconv.ParseUint(r.Header.Get(core.SlotHeader), 10, 32)
 	epoch, _ := strconv.ParseUint(r.Header.Get(core.EpochHeader), 10, 64)
-	if reason := s.start(keyspace.Slot(slot), epoch); reason != "" {
+	hash, _ := strconv.ParseUint(r.Header.Get(core.HashHeader), 16, 64)
+	if reason := s.start(keyspace.Slot(slot), keyspace.Hash(hash), epoch); reason != "" {
 		w.Header().Set(core.RefusedHeader, reason)
 		http.Error(w, reason, http.StatusServiceUnavailable)
 		return
@@ -192,7 +192,7 @@
 }
 
 // start takes a request in or says why it is refused.
-func (s *Server) start(slot keyspace.Slot, epoch uint64) string {
+func (s *Server) start(slot keyspace.Slot, hash keyspace.Hash, epoch uint64) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -202,8 +202,8 @@
 		return "epoch is old"
 	case s.checksGrants && s.clock() >= s.until:
 		return "grant has lapsed"
-	case s.checksGrants && !contains(s.granted, slot):
-		return "slot is not granted"
+	case s.checksGrants && !s.granted.Covers(hash, slot):
+		return "key is not granted"
 	}
 	s.running++
 	return ""
@@ -253,15 +253,6 @@
 	s.SetFaults(f)
 }
 
-func contains(rs []record.SlotRange, slot keyspace.Slot) bool {
-	for _, r := range rs {
-		if r.First <= slot && slot <= r.Last {
-			return true
-		}
-	}
-	return false
-}
-
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
--- a/lab/platform/platform.go
+++ b/lab/platform/platform.go
@@ -144,10 +144,11 @@
 	defer cancel()
 	b, ok := p.readOrWait(ctx, from)
 	if !ok {
+		w.Header().Set(core.OldestHeader, strconv.FormatUint(b.Oldest, 10))
 		http.Error(w, "no longer kept; the oldest record is "+strconv.FormatUint(b.Oldest, 10), http.StatusGone)
 		return
 	}
-	writeJSON(w, map[string]any{"oldest": b.Oldest, "first": b.First, "entries": b.Entries})
+	writeJSON(w, map[string]any{"oldest": b.Oldest, "end": b.End, "first": b.First, "entries": b.Entries})
 }
 
 // readOrWait returns the records from offset on, waiting for the first until
@@ -155,7 +156,7 @@
 func (p *Platform) readOrWait(ctx context.Context, from uint64) (core.Batch, bool) {
 	for {
 		p.mu.Lock()
-		b := core.Batch{Oldest: p.first, First: from}
+		b := core.Batch{Oldest: p.first, End: p.first + uint64(len(p.entries)), First: from}
 		added := p.added
 		if from < p.first {
 			p.mu.Unlock()
--- a/router/daemon/daemon.go
+++ b/router/daemon/daemon.go
@@ -55,6 +55,7 @@
 		core     *control.Core // used by the control goroutine alone
 		events   chan control.Event
 		appends  chan record.Record
+		readFrom chan uint64 // holds the last offset asked for
 		entry    *caller.Server
 		dispatch *dispatch.Set
 		client   *peer.Client
@@ -90,10 +91,11 @@
 			Region: s.Region, FailureDomain: s.FailureDomain, Control: s.Control,
 			Forward: s.Forward, Admin: s.Admin, Fingerprint: identity.Fingerprint(),
 		}),
-		events:  make(chan control.Event, eventBuffer),
-		appends: make(chan record.Record, appendBuffer),
-		client:  peer.NewClient(identity),
-		grants:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		events:   make(chan control.Event, eventBuffer),
+		appends:  make(chan record.Record, appendBuffer),
+		readFrom: make(chan uint64, 1),
+		client:   peer.NewClient(identity),
+		grants:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
 	}
 	d.dispatch = dispatch.NewSet(self,
 		dispatch.WithTracer(tracing.tracer),
@@ -111,6 +113,7 @@
 		{"log reader", d.followLog},
 		{"log writer", d.writeLog},
 		{"list reader", d.followList},
+		{"load reader", d.followLoad},
 		{"admin", d.serveAdmin},
 		{"forward", d.serveForward},
 	}
@@ -181,6 +184,8 @@
 		default:
 			d.log.Warn("append queue full", "record", e.Record.ID)
 		}
+	case control.ReadLog:
+		d.readLogFrom(e.From)
 	case control.SendGrant:
 		grants.Go(func() { d.sendGrant(ctx, e) })
 	case control.SetTable:
--- a/router/dispatch/dispatcher.go
+++ b/router/dispatch/dispatcher.go
@@ -9,7 +9,6 @@
 	"bronzewind.example/core/code"
 	"bronzewind.example/core/control"
 	"bronzewind.example/core/keyspace"
-	"bronzewind.example/core/record"
 	"bronzewind.example/core/route"
 )
 
@@ -25,11 +24,10 @@
 		closed   bool
 		until    time.Time // the grant surely holds before it
 		epoch    uint64
-		granted  []bool // by slot
-		held     []record.SlotRange
+		owned    ownership
 		waiting  queue
-		running  int // never above the service's server slots
-		inSlot   map[keyspace.Slot]int
+		running  map[*job]struct{} // never more than the service's server slots
+		load     loadMeter
 		sequence uint64
 	}
 
@@ -39,6 +37,7 @@
 		slot     keyspace.Slot
 		priority float64 // worth per second of slot time
 		arrived  uint64
+		started  time.Time
 		start    chan error // receives nil to start, or why it can't; capacity 1
 		index    int        // in the queue; -1 when not queued
 	}
@@ -54,7 +53,7 @@
 			DisableCompression:  true,
 		}
 	}
-	return &Dispatcher{set: s, transport: t, service: v, server: server, inSlot: map[keyspace.Slot]int{}}
+	return &Dispatcher{set: s, transport: t, service: v, server: server, running: map[*job]struct{}{}, load: newLoadMeter(s.clock.Now())}
 }
 
 // setRoute takes the new snapshot and turns away work of slots that moved.
@@ -63,7 +62,7 @@
 	defer d.mu.Unlock()
 	d.service, d.server = v, server
 	for _, j := range d.waiting.all() {
-		if owner, _, ok := v.Owner(j.slot); !ok || owner.Name != server.Name {
+		if owner, _, ok := v.Lookup(j.request.Hash); !ok || owner.Name != server.Name {
 			d.waiting.remove(j)
 			j.start <- code.NewError(code.StaleRoute, "the key moved to another backend server")
 		}
@@ -74,34 +73,30 @@
 func (d *Dispatcher) authorize(a control.Authorize) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.until, d.epoch, d.held = a.Until, a.Epoch, a.Held
-	d.granted = make([]bool, d.service.Config.Slots)
-	for _, r := range a.Granted {
-		for i := r.First; i <= r.Last; i++ {
-			d.granted[i] = true
-		}
-	}
+	d.until, d.epoch = a.Until, a.Epoch
+	d.owned.authorize(a, d.service.Config.Slots)
 	d.startNext()
 }
 
 func (d *Dispatcher) hold(h control.HoldSlots) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.held = h.Ranges
+	d.owned.hold(h)
 	d.reportDrained()
 }
 
-// reportDrained tells control once no held slot has work in flight; d.mu is held.
+// reportDrained tells control once nothing that is held has work in flight;
+// d.mu is held.
 func (d *Dispatcher) reportDrained() {
-	if len(d.held) == 0 {
+	if !d.owned.holding() {
 		return
 	}
-	for slot := range d.inSlot {
-		if contains(d.held, slot) {
+	for j := range d.running {
+		if d.owned.held(j.slot, j.request.Hash) {
 			return
 		}
 	}
-	event := control.SlotsDrained{Service: d.server.Service, Server: d.server.Name, Ranges: d.held}
+	event := control.SlotsDrained{Service: d.server.Service, Server: d.server.Name, Hold: d.owned.number, Ranges: d.owned.heldSlots}
 	go d.set.drained(event)
 }
 
@@ -144,7 +139,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	slot := r.Hash.Slot(d.service.Config.Slots)
-	if owner, _, ok := d.service.Owner(slot); d.closed || !ok || owner.Name != d.server.Name {
+	if owner, _, ok := d.service.Lookup(r.Hash); d.closed || !ok || owner.Name != d.server.Name {
 		return nil, code.NewError(code.StaleRoute, "the key is owned by another backend server")
 	}
 	if d.waiting.count(r.Kind.Name) >= r.Kind.QueueLimit {
@@ -180,38 +175,23 @@
 // startNext starts queued work while slots are free and the grant holds;
 // d.mu is held.
 func (d *Dispatcher) startNext() {
-	for d.running < d.service.Config.ServerSlots && d.set.clock.Now().Before(d.until) {
-		j := d.waiting.popWhere(func(j *job) bool { return d.mayStart(j.slot) })
+	for len(d.running) < d.service.Config.ServerSlots && d.set.clock.Now().Before(d.until) {
+		j := d.waiting.popWhere(func(j *job) bool { return d.owned.mayStart(j.slot, j.request.Hash) })
 		if j == nil {
 			return
 		}
-		d.running++
-		d.inSlot[j.slot]++
+		d.running[j] = struct{}{}
+		j.started = d.set.clock.Now()
 		j.start <- nil
 	}
 }
 
-func (d *Dispatcher) mayStart(slot keyspace.Slot) bool {
-	return int(slot) < len(d.granted) && d.granted[slot] && !contains(d.held, slot)
-}
-
 // finish frees the slot of j.
 func (d *Dispatcher) finish(j *job) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.running--
-	if d.inSlot[j.slot]--; d.inSlot[j.slot] == 0 {
-		delete(d.inSlot, j.slot)
-	}
+	delete(d.running, j)
+	d.load.add(d.set.clock.Now(), j.slot, j.request.Hash, d.service.Hot(j.request.Hash), j.started)
 	d.reportDrained()
 	d.startNext()
 }
-
-func contains(rs []record.SlotRange, slot keyspace.Slot) bool {
-	for _, r := range rs {
-		if r.First <= slot && slot <= r.Last {
-			return true
-		}
-	}
-	return false
-}
--- /dev/null
+++ b/router/dispatch/load.go
@@ -0,0 +1,157 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bronzewind.example/core/control"
+	"bronzewind.example/core/keyspace"
+)
+
+const (
+	loadWindow    = 5 * time.Second // a load is the mean over one to two windows
+	reportedSlots = 32
+	reportedKeys  = 16
+	trackedKeys   = 64
+)
+
+type (
+	// loadMeter measures the load of one backend server by slot and by key.
+	loadMeter struct {
+		current, last loadCount
+	}
+
+	// loadCount is the time that requests spent running within one window.
+	loadCount struct {
+		began time.Time
+		slots map[keyspace.Slot]time.Duration // without keys that have rows
+		keys  sketch
+	}
+
+	// sketch keeps the trackedKeys keys with the most time, in bounded memory:
+	// a new key takes the place of the least one and its count (space-saving).
+	// The time of a key is at least busy-over. The zero value is empty.
+	sketch struct{ entries []keyTime }
+
+	keyTime struct {
+		hash keyspace.Hash
+		busy time.Duration
+		over time.Duration // most of busy that may be of other keys
+	}
+)
+
+func newLoadMeter(now time.Time) loadMeter {
+	return loadMeter{current: newLoadCount(now), last: newLoadCount(now)}
+}
+
+func newLoadCount(now time.Time) loadCount {
+	return loadCount{began: now, slots: map[keyspace.Slot]time.Duration{}}
+}
+
+// add counts a request that ran from started until now. hot says that the key
+// has a row of its own.
+func (m *loadMeter) add(now time.Time, slot keyspace.Slot, h keyspace.Hash, hot bool, started time.Time) {
+	m.turn(now)
+	busy := now.Sub(started)
+	if !hot {
+		m.current.slots[slot] += busy
+	}
+	m.current.keys.add(h, busy)
+}
+
+func (m *loadMeter) turn(now time.Time) {
+	if now.Sub(m.current.began) >= loadWindow {
+		m.last, m.current = m.current, newLoadCount(now)
+	}
+}
+
+// report returns the load as requests running at once on average.
+func (m *loadMeter) report(now time.Time, service, server string) control.LoadReported {
+	m.turn(now)
+	out := control.LoadReported{Service: service, Server: server}
+	span := now.Sub(m.last.began)
+	if span <= 0 {
+		return out
+	}
+	slots := map[keyspace.Slot]time.Duration{}
+	for _, n := range []*loadCount{&m.last, &m.current} {
+		for slot, busy := range n.slots {
+			slots[slot] += busy
+		}
+	}
+	for slot, busy := range slots {
+		out.Slots = append(out.Slots, control.SlotLoad{Slot: slot, Load: share(busy, span)})
+	}
+	slices.SortFunc(out.Slots, func(a, b control.SlotLoad) int {
+		return cmp.Or(cmp.Compare(b.Load, a.Load), cmp.Compare(a.Slot, b.Slot))
+	})
+	for len(out.Slots) > reportedSlots {
+		out.Rest += out.Slots[len(out.Slots)-1].Load
+		out.Slots = out.Slots[:len(out.Slots)-1]
+	}
+	out.Keys = m.keys(span)
+	return out
+}
+
+func (m *loadMeter) keys(span time.Duration) []control.KeyLoad {
+	busy := map[keyspace.Hash]time.Duration{}
+	for _, n := range []*loadCount{&m.last, &m.current} {
+		for _, k := range n.keys.entries {
+			busy[k.hash] += k.busy - k.over
+		}
+	}
+	var out []control.KeyLoad
+	for h, b := range busy {
+		if b > 0 {
+			out = append(out, control.KeyLoad{Hash: h, Load: share(b, span)})
+		}
+	}
+	slices.SortFunc(out, func(a, b control.KeyLoad) int {
+		return cmp.Or(cmp.Compare(b.Load, a.Load), cmp.Compare(a.Hash, b.Hash))
+	})
+	return out[:min(len(out), reportedKeys)]
+}
+
+func share(busy, span time.Duration) float32 { return float32(busy.Seconds() / span.Seconds()) }
+
+func (s *sketch) add(h keyspace.Hash, busy time.Duration) {
+	least := 0
+	for i := range s.entries {
+		if s.entries[i].hash == h {
+			s.entries[i].busy += busy
+			return
+		}
+		if s.entries[i].busy < s.entries[least].busy {
+			least = i
+		}
+	}
+	if len(s.entries) < trackedKeys {
+		s.entries = append(s.entries, keyTime{hash: h, busy: busy})
+		return
+	}
+	over := s.entries[least].busy
+	s.entries[least] = keyTime{hash: h, busy: over + busy, over: over}
+}
+
+// Loads returns the measured load of every backend server that this instance
+// dispatches to.
+func (s *Set) Loads() []control.LoadMeasured {
+	s.mu.Lock()
+	dispatchers := make([]*Dispatcher, 0, len(s.servers))
+	for _, d := range s.servers {
+		dispatchers = append(dispatchers, d)
+	}
+	s.mu.Unlock()
+	out := make([]control.LoadMeasured, 0, len(dispatchers))
+	for _, d := range dispatchers {
+		out = append(out, control.LoadMeasured{Load: d.measure()})
+	}
+	return out
+}
+
+func (d *Dispatcher) measure() control.LoadReported {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.load.report(d.set.clock.Now(), d.server.Service, d.server.Name)
+}
