Add the questionnaire, generation, check, diff, publish, status and explain

Contradictions name line, field and mend. Publishing tells a lost race from a lost answer by reading back.

--- a/core/config/parse.go
+++ b/core/config/parse.go
@@ -1,33 +1,22 @@
 package config
 
 import (
-	"errors"
 	"fmt"
 	"strings"
 
 	"github.com/goccy/go-yaml"
-)
-
-// Problem is one fault of a document, with the place and the mend.
-type Problem struct {
-	Field string // path of the field, for example "services[0].slots"
-	Fault string
-	Mend  string
-}
 
-// Error returns field, fault and mend in one line.
-func (p *Problem) Error() string {
-	return fmt.Sprintf("%s: %s; %s", p.Field, p.Fault, p.Mend)
-}
+	"bronzewind.example/core/document"
+)
 
-// Parse reads and checks a document. An unknown field, a missing value and a
-// contradiction are errors; a syntax error names its line.
-func Parse(document []byte) (*Configuration, error) {
+// Parse reads and checks a document. Its faults are *document.Problems with
+// line, field and mend.
+func Parse(data []byte) (*Configuration, error) {
 	var c Configuration
-	if err := yaml.UnmarshalWithOptions(document, &c, yaml.Strict()); err != nil {
-		return nil, fmt.Errorf("configuration: %w", err)
+	if err := document.Decode(data, &c); err != nil {
+		return nil, err
 	}
-	if err := c.Check(); err != nil {
+	if err := c.check(document.NewChecker(data)); err != nil {
 		return nil, err
 	}
 	return &c, nil
@@ -38,14 +27,13 @@
 	return yaml.Marshal(c)
 }
 
-// Check returns all problems of c joined, or nil.
+// Check returns all problems of c, or nil.
 func (c *Configuration) Check() error {
-	var ps []error
-	add := func(bad bool, field, fault, mend string) {
-		if bad {
-			ps = append(ps, &Problem{Field: field, Fault: fault, Mend: mend})
-		}
-	}
+	return c.check(document.NewChecker(nil))
+}
+
+func (c *Configuration) check(d *document.Checker) error {
+	add := d.Check
 	add(c.Version == 0, "version", "is 0", "start at 1")
 	add(c.Fleet == "", "fleet", "is empty", "give the fleet a name")
 	add(len(c.Regions) == 0, "regions", "is empty", "name at least one region")
@@ -59,10 +47,42 @@
 	for i := range c.Services {
 		c.Services[i].check(fmt.Sprintf("services[%d]", i), add)
 	}
-	return errors.Join(ps...)
+	c.checkNames(add)
+	return d.Err()
 }
 
-func (s *Service) check(at string, add func(bad bool, field, fault, mend string)) {
+// checkNames finds names and path prefixes that stand twice.
+func (c *Configuration) checkNames(add checkFunc) {
+	seen := map[string]bool{}
+	once := func(space, name, field string) {
+		key := space + " " + name
+		add(seen[key], field, fmt.Sprintf("%q stands twice", name), "give each its own")
+		seen[key] = true
+	}
+	for i, r := range c.Regions {
+		once("region", r.Name, fmt.Sprintf("regions[%d].name", i))
+		for j, f := range r.FailureDomains {
+			once("failure domain", f, fmt.Sprintf("regions[%d].failure-domains[%d]", i, j))
+		}
+	}
+	for i, v := range c.Callers {
+		once("caller", v.Name, fmt.Sprintf("callers[%d].name", i))
+	}
+	for i, v := range c.Services {
+		once("service", v.Name, fmt.Sprintf("services[%d].name", i))
+		once("path", v.PathPrefix, fmt.Sprintf("services[%d].path-prefix", i))
+		for j, k := range v.Kinds {
+			at := fmt.Sprintf("services[%d].kinds[%d]", i, j)
+			once("kind of "+v.Name, k.Name, at+".name")
+			once("match of "+v.Name, k.Method+" "+k.PathSuffix, at+".path-suffix")
+		}
+	}
+}
+
+// checkFunc notes a fault of a field when bad.
+type checkFunc func(bad bool, field, fault, mend string)
+
+func (s *Service) check(at string, add checkFunc) {
 	add(s.Name == "", at+".name", "is empty", "name the service")
 	add(!strings.HasPrefix(s.PathPrefix, "/") || !strings.HasSuffix(s.PathPrefix, "/"), at+".path-prefix", "does not start and end with \"/\"", "write it as \"/"+s.Name+"/\"")
 	add(s.Slots < 1 || s.Slots > 1<<20 || s.Slots&(s.Slots-1) != 0, at+".slots", "is not a power of two up to 1048576", "choose for example 4096")
@@ -82,7 +102,7 @@
 	}
 }
 
-func (k *Kind) check(at string, add func(bad bool, field, fault, mend string)) {
+func (k *Kind) check(at string, add checkFunc) {
 	add(k.Name == "", at+".name", "is empty", "name the kind of work")
 	add(k.Method == "", at+".method", "is empty", "give an HTTP method such as GET")
 	add(k.Rank < 0 || k.Rank >= RankCount, at+".rank", "is not 0, 1 or 2", "use 0 for urgent, 1 for normal, 2 for bulk")
--- /dev/null
+++ b/operator/options.go
@@ -0,0 +1,87 @@
+package main
+
+import "github.com/integrii/flaggy"
+
+// options are the command line, parsed.
+type options struct {
+	command string // name of the command; "" when none was given
+	file    string // first positional value
+	second  string // second positional value
+	from    string
+	to      string
+	service string
+	author  string
+	url     string
+	version int
+	json    bool
+	explain bool
+}
+
+const help = `examples:
+  bronzectl questionnaire --from examples/magnolia/answers.yaml --to answers.yaml
+  bronzectl generate answers.yaml --to configuration.yaml --explain
+  bronzectl check configuration.yaml
+  bronzectl diff old.yaml new.yaml
+  bronzectl publish configuration.yaml --platform http://127.0.0.1:8000 --author kim
+  bronzectl status --platform http://127.0.0.1:8000 --json
+  bronzectl explain A-1042 --service proofs`
+
+// parseOptions reads the command line; a wrong one prints help and ends the
+// process with exitUsage.
+func parseOptions(args []string) (*options, error) {
+	o := &options{url: "http://127.0.0.1:8000", author: "operator", version: 1}
+	p := flaggy.NewParser("bronzectl")
+	p.Description = "operates a fleet of bronzewind"
+	p.AdditionalHelpAppend = help
+	p.Version = "0.1.0"
+
+	ask := command(p, "questionnaire", "ask for the answers, with those of an earlier file as defaults")
+	ask.String(&o.from, "", "from", "file of earlier answers")
+	ask.String(&o.to, "", "to", "file to write; standard output without it")
+
+	generate := command(p, "generate", "turn answers into a configuration")
+	generate.AddPositionalValue(&o.file, "answers", 1, true, "answers in YAML")
+	generate.String(&o.to, "", "to", "file to write; standard output without it")
+	generate.Int(&o.version, "", "config-version", "version of the configuration, one above the one in force")
+	generate.Bool(&o.explain, "", "explain", "say on standard error why each value is as it is")
+
+	check := command(p, "check", "check a file of answers or a configuration")
+	check.AddPositionalValue(&o.file, "file", 1, true, "answers or configuration in YAML")
+
+	diff := command(p, "diff", "say what changes between two configurations, and for whom")
+	diff.AddPositionalValue(&o.file, "old", 1, true, "configuration in YAML")
+	diff.AddPositionalValue(&o.second, "new", 2, true, "configuration in YAML")
+	diff.Bool(&o.json, "", "json", "write JSON")
+
+	publish := command(p, "publish", "put a configuration in force")
+	publish.AddPositionalValue(&o.file, "file", 1, true, "configuration in YAML")
+	publish.String(&o.author, "a", "author", "who publishes")
+	publish.String(&o.url, "p", "platform", "URL of the platform")
+
+	status := command(p, "status", "show the version in force on each instance")
+	status.String(&o.url, "p", "platform", "URL of the platform")
+	status.Bool(&o.json, "", "json", "write JSON")
+
+	explain := command(p, "explain", "show where a key is served, and why")
+	explain.AddPositionalValue(&o.file, "key", 1, true, "the key")
+	explain.String(&o.service, "s", "service", "service; all without it")
+	explain.String(&o.url, "p", "platform", "URL of the platform")
+	explain.Bool(&o.json, "", "json", "write JSON")
+
+	if err := p.ParseArgs(args); err != nil {
+		return nil, err
+	}
+	for _, s := range p.Subcommands {
+		if s.Used {
+			o.command = s.Name
+		}
+	}
+	return o, nil
+}
+
+func command(p *flaggy.Parser, name, description string) *flaggy.Subcommand {
+	s := flaggy.NewSubcommand(name)
+	s.Description = description
+	p.AttachSubcommand(s, 1)
+	return s
+}
--- a/operator/publish/publish.go
+++ b/operator/publish/publish.go
@@ -10,6 +10,7 @@
 	"bronzewind.example/core/platform"
 	"bronzewind.example/core/record"
 	"bronzewind.example/core/state"
+	"bronzewind.example/operator/fleet"
 )
 
 const readWait = 200 * time.Millisecond
@@ -23,10 +24,25 @@
 
 // Error says who won and how to go on.
 func (e *LostRaceError) Error() string {
+	who := e.Author
+	if who == "" {
+		who = "nobody"
+	}
 	return fmt.Sprintf("version %d builds on version %d, but %s has put version %d in force; compare with it (bronzectl diff), then publish version %d",
-		e.Base+1, e.Base, e.Author, e.Now, e.Now+1)
+		e.Base+1, e.Base, who, e.Now, e.Now+1)
 }
 
+// UnknownFateError means that the record may or may not be in the log.
+type UnknownFateError struct{ Err error }
+
+// Error says how to find out.
+func (e *UnknownFateError) Error() string {
+	return fmt.Sprintf("it is not known whether the version is in force (%v); bronzectl status shows it once the log answers, and publishing again does no harm", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownFateError) Unwrap() error { return e.Err }
+
 // Publish appends document and reads the log back until its fate is known. It
 // returns the version in force.
 func Publish(ctx context.Context, log platform.Log, document []byte, author string) (uint64, error) {
@@ -34,8 +50,8 @@
 	if err != nil {
 		return 0, err
 	}
-	s := state.New()
-	if err := catchUp(ctx, log, s); err != nil {
+	s, err := fleet.Read(ctx, log)
+	if err != nil {
 		return 0, err
 	}
 	if s.Version() != c.Version-1 {
@@ -60,10 +76,10 @@
 	for {
 		b, err := log.Read(ctx, s.Next, readWait)
 		if err != nil {
-			return 0, fmt.Errorf("the version's fate is unknown, run publish again to see: %w", err)
+			return 0, &UnknownFateError{Err: err}
 		}
 		for i, data := range b.Entries {
-			id, verdict := apply(s, b.First+uint64(i), data)
+			id, verdict := fleet.Fold(s, b.First+uint64(i), data)
 			if id == r.ID && verdict == state.Accepted {
 				return s.Version(), nil
 			}
@@ -76,27 +92,3 @@
 		}
 	}
 }
-
-func catchUp(ctx context.Context, log platform.Log, s *state.State) error {
-	for {
-		b, err := log.Read(ctx, s.Next, 0)
-		if err != nil {
-			return err
-		}
-		if len(b.Entries) == 0 {
-			return nil
-		}
-		for i, data := range b.Entries {
-			apply(s, b.First+uint64(i), data)
-		}
-	}
-}
-
-func apply(s *state.State, offset uint64, data []byte) (string, state.Verdict) {
-	r, err := record.Decode(data)
-	if err != nil {
-		s.Skip(offset)
-		return "", state.Invalid
-	}
-	return r.ID, s.Apply(offset, r)
-}
