--- a/core/control/leave.go
+++ b/core/control/leave.go
@@ -62,20 +62,17 @@
 	}
 }
 
-// handOver holds the work of a backend server whose dispatcher is to change,
+// handRole holds the work of a backend server whose dispatcher is to change,
 // and releases the role once nothing runs.
-func (c *Core) handOver(v *state.Service, server state.Server, g *grantState, now time.Time) []Effect {
+func (c *Core) handRole(v *state.Service, server state.Server, g *grantState, now time.Time) []Effect {
 	if !g.handing {
 		g.handing = true
-		return c.hold(v, server, g, allSlots(v, server.Row.Name), now)
+		all := []record.SlotRange{{First: 0, Last: keyspace.Slot(len(v.Slots) - 1), Server: server.Row.Name}}
+		return c.hold(v, server, &g.handover, ownership{slots: all, keys: g.share.keys}, now)
 	}
-	if !g.drained {
+	if !g.handover.drained {
 		return nil
 	}
-	return c.propose("hand-over/"+v.Name+"/"+server.Row.Name,
+	return c.propose("role/"+v.Name+"/"+server.Row.Name,
 		record.DispatcherReleased{Service: v.Name, Server: server.Row.Name, Epoch: g.epoch}, now)
 }
-
-func allSlots(v *state.Service, server string) []record.SlotRange {
-	return []record.SlotRange{{First: 0, Last: keyspace.Slot(len(v.Slots) - 1), Server: server}}
-}
--- a/core/control/naming.go
+++ b/core/control/naming.go
@@ -86,7 +86,7 @@
 		}
 	}
 	want := c.wantedWitnesses()
-	fresh := now.Sub(c.logLeases[m.Writer].read) < c.timing().Lease.Std()/2
+	fresh := now.Sub(c.witnessing.logLeases[m.Writer].read) < c.timing().Lease.Std()/2
 	switch {
 	case len(m.Witnesses) == 0 && !fresh:
 		return row, false
@@ -103,7 +103,7 @@
 	m := c.state.Members[c.self.Instance]
 	row := record.WitnessRow{Member: c.self, Base: m.LeaseVersion}
 	for _, w := range m.Witnesses {
-		if slices.Contains(c.refused, w) {
+		if slices.Contains(c.witnessing.refused, w) {
 			row.Refused = append(row.Refused, w)
 			continue
 		}
@@ -169,7 +169,7 @@
 // refusedBy returns the witnesses that are known to have refused m.
 func (c *Core) refusedBy(m state.Member) []record.Writer {
 	if m.Writer == c.self {
-		return c.refused
+		return c.witnessing.refused
 	}
 	return nil
 }
--- a/core/control/witness.go
+++ b/core/control/witness.go
@@ -26,6 +26,19 @@
 		proved time.Time // when the votes became a majority; zero before
 	}
 
+	// witnessing is what an instance knows of the leases of others.
+	witnessing struct {
+		held        bool                        // the own lease held in the last step
+		seen        uint64                      // the fold's next offset when the members were last looked over
+		rank        int                         // place in the order of those that write losses
+		refused     []record.Writer             // own witnesses that voted this run lost
+		watches     map[record.Writer]*watch    // members that the instance witnesses
+		watched     []record.Writer             // the keys of watches in order of name
+		unwitnessed []record.Writer             // other members without witnesses, in order of name
+		logLeases   map[record.Writer]logLease  // of every member
+		ended       map[record.Writer]time.Time // when an end of membership was folded
+	}
+
 	// logLease is what the log shows of the lease of a member without witnesses.
 	logLease struct {
 		version uint64
@@ -33,37 +46,73 @@
 	}
 )
 
+func newWitnessing() witnessing {
+	return witnessing{
+		watches:   map[record.Writer]*watch{},
+		logLeases: map[record.Writer]logLease{},
+		ended:     map[record.Writer]time.Time{},
+	}
+}
+
+// heardLog takes note that the log answered. What came to it in a long silence
+// is still to be read, so leases through the log count from now on again.
+func (c *Core) heardLog(now time.Time) {
+	if now.Sub(c.logHeard) > logSilence {
+		for w, l := range c.witnessing.logLeases {
+			c.witnessing.logLeases[w] = logLease{version: l.version, read: now}
+		}
+	}
+	c.logHeard = now
+}
+
+// followMembers takes up changes of members and timing that were folded.
+func (c *Core) followMembers(now time.Time) {
+	if c.state.Configuration != nil {
+		c.longestLease = max(c.longestLease, c.timing().Lease.Std())
+	}
+	c.admitted = c.admitted || c.state.IsMember(c.self)
+	if c.witnessing.seen != c.state.MembersChanged {
+		c.witnessing.seen = c.state.MembersChanged
+		c.watchMembers(now)
+	}
+}
+
+// decideLosses votes silent members lost and writes losses.
+func (c *Core) decideLosses(now time.Time) []Effect {
+	return append(c.decideVotes(now), c.decideLogLosses(now)...)
+}
+
 // watchMembers brings watches and log leases in line with the members. A
 // member whose witness the instance has just become counts as heard of now.
 func (c *Core) watchMembers(now time.Time) {
-	for w := range c.watches {
+	for w := range c.witnessing.watches {
 		if !c.isWitnessOf(w) {
-			delete(c.watches, w)
+			delete(c.witnessing.watches, w)
 		}
 	}
-	for w := range c.logLeases {
+	for w := range c.witnessing.logLeases {
 		if !c.state.IsMember(w) {
-			delete(c.logLeases, w)
-			c.ended[w] = now
+			delete(c.witnessing.logLeases, w)
+			c.witnessing.ended[w] = now
 		}
 	}
-	c.watched, c.unwitnessed = nil, nil
+	c.witnessing.watched, c.witnessing.unwitnessed = nil, nil
 	for i, name := range c.state.MemberNames() {
 		m := c.state.Members[name]
 		c.watchMember(m, now)
 		if m.Writer == c.self {
-			c.rank = i % maxStaggered
+			c.witnessing.rank = i % maxStaggered
 		} else if len(m.Witnesses) == 0 {
-			c.unwitnessed = append(c.unwitnessed, m.Writer)
+			c.witnessing.unwitnessed = append(c.witnessing.unwitnessed, m.Writer)
 		}
 	}
 	c.forgetEnded(now)
 }
 
 func (c *Core) watchMember(m state.Member, now time.Time) {
-	l, ok := c.logLeases[m.Writer]
+	l, ok := c.witnessing.logLeases[m.Writer]
 	if !ok || l.version != m.LeaseVersion {
-		c.logLeases[m.Writer] = logLease{version: m.LeaseVersion, read: now}
+		c.witnessing.logLeases[m.Writer] = logLease{version: m.LeaseVersion, read: now}
 		if m.Writer == c.self {
 			c.lease.named = now
 		}
@@ -71,17 +120,17 @@
 	if !c.isWitnessOf(m.Writer) {
 		return
 	}
-	if _, ok := c.watches[m.Writer]; !ok {
-		c.watches[m.Writer] = &watch{until: now.Add(c.surely(c.longestLease))}
+	if _, ok := c.witnessing.watches[m.Writer]; !ok {
+		c.witnessing.watches[m.Writer] = &watch{until: now.Add(c.surely(c.longestLease))}
 	}
-	c.watched = append(c.watched, m.Writer)
+	c.witnessing.watched = append(c.witnessing.watched, m.Writer)
 }
 
 // forgetEnded drops members that ended so long ago that nothing waits for it.
 func (c *Core) forgetEnded(now time.Time) {
-	for w, at := range c.ended {
+	for w, at := range c.witnessing.ended {
 		if now.Sub(at) > 2*c.surely(c.longestLease) {
-			delete(c.ended, w)
+			delete(c.witnessing.ended, w)
 		}
 	}
 }
@@ -89,8 +138,11 @@
 // promisesLapsed reports whether all that w promised before its membership
 // ended has surely lapsed.
 func (c *Core) promisesLapsed(w record.Writer, now time.Time) bool {
-	at, ok := c.ended[w]
-	return !ok || now.Sub(at) > c.surely(c.longestLease)
+	at, ok := c.witnessing.ended[w]
+	if !ok {
+		at = c.began // it ended before that, or is long forgotten
+	}
+	return now.Sub(at) > c.surely(c.longestLease)
 }
 
 func (c *Core) isWitnessOf(w record.Writer) bool {
@@ -103,7 +155,7 @@
 	if c.state.Configuration == nil {
 		return
 	}
-	for _, w := range c.watches {
+	for _, w := range c.witnessing.watches {
 		if end := now.Add(c.surely(c.longestLease)); end.After(w.until) {
 			w.until = end
 		}
@@ -114,7 +166,7 @@
 // the instance knows of is not promised: the instance lags behind the
 // configuration.
 func (c *Core) answerHeartbeat(from record.Writer, h Heartbeat, now time.Time) []Effect {
-	w, ok := c.watches[from]
+	w, ok := c.witnessing.watches[from]
 	if !ok || w.voted || !c.holdsLease(now) || h.Lease > c.longestLease {
 		return nil
 	}
@@ -128,13 +180,13 @@
 // witnesses, and writes a loss that a majority proves.
 func (c *Core) decideVotes(now time.Time) []Effect {
 	holds := c.holdsLease(now)
-	if holds && !c.held {
+	if holds && !c.witnessing.held {
 		c.graceAfterGap(now)
 	}
-	c.held = holds
+	c.witnessing.held = holds
 	var out []Effect
-	for _, member := range c.watched {
-		out = append(out, c.decideVote(c.state.Members[member.Instance], c.watches[member], holds, now)...)
+	for _, member := range c.witnessing.watched {
+		out = append(out, c.decideVote(c.state.Members[member.Instance], c.witnessing.watches[member], holds, now)...)
 	}
 	return out
 }
@@ -194,12 +246,12 @@
 
 func (c *Core) voteReceived(from record.Writer, v LostVote) {
 	if v.Member == c.self {
-		if !slices.Contains(c.refused, from) {
-			c.refused = append(c.refused, from)
+		if !slices.Contains(c.witnessing.refused, from) {
+			c.witnessing.refused = append(c.witnessing.refused, from)
 		}
 		return
 	}
-	if w, ok := c.watches[v.Member]; ok {
+	if w, ok := c.witnessing.watches[v.Member]; ok {
 		w.vote(from)
 	}
 }
@@ -215,9 +267,9 @@
 		return nil
 	}
 	var out []Effect
-	wait := c.surely(c.longestLease) + time.Duration(c.rank)*lossStagger
-	for _, w := range c.unwitnessed {
-		if now.Sub(c.logLeases[w].read) > wait {
+	wait := c.surely(c.longestLease) + time.Duration(c.witnessing.rank)*lossStagger
+	for _, w := range c.witnessing.unwitnessed {
+		if now.Sub(c.witnessing.logLeases[w].read) > wait {
 			out = append(out, c.proposeLoss(c.state.Members[w.Instance], now)...)
 		}
 	}
@@ -233,7 +285,7 @@
 		return nil
 	}
 	wait := 2 * c.surely(c.longestLease)
-	if m.Joined.Control != c.joined.Control || now.Sub(c.began) < wait || now.Sub(c.logLeases[m.Writer].read) < wait {
+	if m.Joined.Control != c.joined.Control || now.Sub(c.began) < wait || now.Sub(c.witnessing.logLeases[m.Writer].read) < wait {
 		return nil
 	}
 	return c.proposeLoss(m, now)
--- a/core/platform/http.go
+++ b/core/platform/http.go
@@ -17,6 +17,9 @@
 	// ListPath is where the list of backend servers answers.
 	ListPath = "/instances"
 
+	// OldestHeader names the oldest record when the one asked for has lapsed.
+	OldestHeader = "Log-Oldest"
+
 	maxAnswerBytes = 64 << 20
 )
 
@@ -29,10 +32,26 @@
 // batchAnswer is the wire format of a read.
 type batchAnswer struct {
 	Oldest  uint64   `json:"oldest"`
+	End     uint64   `json:"end"`
 	First   uint64   `json:"first"`
 	Entries [][]byte `json:"entries"`
 }
 
+// UnreachableError means that the platform did not answer; a change may have
+// taken effect all the same.
+type UnreachableError struct {
+	URL string
+	Err error
+}
+
+// Error names the platform and the cause.
+func (e *UnreachableError) Error() string {
+	return fmt.Sprintf("the platform at %s does not answer: %v", e.URL, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Err }
+
 // NewClient returns a client of the platform at base, for example
 // "http://127.0.0.1:8000".
 func NewClient(base string) *Client {
@@ -72,14 +91,18 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return fmt.Errorf("platform: %w", err)
+		return &UnreachableError{URL: c.base, Err: err}
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode == http.StatusGone {
-		return ErrTruncated
+		oldest, err := strconv.ParseUint(resp.Header.Get(OldestHeader), 10, 64)
+		if err != nil {
+			return fmt.Errorf("platform: %s %s answered %s without %s", method, path, resp.Status, OldestHeader)
+		}
+		return &TruncatedError{Oldest: oldest}
 	}
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("platform: %s %s answered %s", method, path, resp.Status)
+		return &UnreachableError{URL: c.base, Err: fmt.Errorf("%s %s answered %s", method, path, resp.Status)}
 	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(into); err != nil {
 		return fmt.Errorf("platform: %s %s: %w", method, path, err)
--- a/core/state/membership.go
+++ b/core/state/membership.go
@@ -9,13 +9,18 @@
 // Majority returns the least number of n witnesses that is a majority.
 func Majority(n int) int { return n/2 + 1 }
 
+func (s *State) setMember(m Member) {
+	s.Members[m.Writer.Instance] = m
+	s.MembersChanged = s.Next
+}
+
 // join adds w. An earlier run of the instance has to be lost or have left
 // first: it may still hold a lease.
 func (s *State) join(w record.Writer, b record.InstanceJoined) Verdict {
 	if _, ok := s.Members[w.Instance]; ok {
 		return Stale
 	}
-	s.Members[w.Instance] = Member{Writer: w, Joined: b}
+	s.setMember(Member{Writer: w, Joined: b})
 	return Accepted
 }
 
@@ -32,7 +37,7 @@
 		return Stale
 	}
 	m.LeaseVersion++
-	s.Members[w.Instance] = m
+	s.setMember(m)
 	return Accepted
 }
 
@@ -42,7 +47,7 @@
 	}
 	m := s.Members[w.Instance]
 	m.Leaving = true
-	s.Members[w.Instance] = m
+	s.setMember(m)
 	return Accepted
 }
 
@@ -56,7 +61,7 @@
 		m := s.Members[row.Member.Instance]
 		m.Witnesses = row.Witnesses
 		m.LeaseVersion++
-		s.Members[row.Member.Instance] = m
+		s.setMember(m)
 		verdict = Accepted
 	}
 	return verdict
