--- a/core/control/control.go
+++ b/core/control/control.go
@@ -215,6 +215,16 @@
 	}
 }
 
+// NextRun returns the core of a new run of the instance, which joins again
+// after RunEnded. It keeps what was folded and listed.
+func (c *Core) NextRun(incarnation uint64) *Core {
+	next := NewCore(record.Writer{Instance: c.self.Instance, Incarnation: incarnation}, c.joined)
+	next.log, next.state, next.caughtUp, next.oldest = c.log, c.state, c.caughtUp, c.oldest
+	next.listed, next.loads = c.listed, c.loads
+	next.logHeard, next.longestLease = c.logHeard, c.longestLease
+	return next
+}
+
 // Step takes one event and returns what is to be done, in order.
 func (c *Core) Step(e Event, now time.Time) []Effect {
 	if c.over {
@@ -286,14 +296,14 @@
 	}
 	out = append(out, c.decideLease(now)...)
 	out = append(out, c.decideLosses(now)...)
-	if !c.holdsLease(now) {
-		return out
-	}
 	if c.log.Whole() {
 		out = append(out, c.decideWitnesses(now)...)
 		out = append(out, c.decideLeave(now)...)
 		out = append(out, c.decideServices(now)...)
 		out = append(out, c.decideCheckpoint(now)...)
 	}
+	if !c.holdsLease(now) {
+		return out
+	}
 	return append(out, c.decideGrants(now)...)
 }
--- /dev/null
+++ b/core/control/encode.go
@@ -0,0 +1,86 @@
+package control
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// The kinds of encoded messages; a number is never given a second meaning.
+const (
+	kindHeartbeat uint = iota + 1
+	kindHeartbeatAnswer
+	kindLostVote
+)
+
+// encodedMessage is one message in a datagram.
+type encodedMessage struct {
+	_    struct{} `cbor:",toarray"`
+	Kind uint
+	Body cbor.RawMessage
+}
+
+// EncodeMessages returns messages as the bytes of one datagram.
+func EncodeMessages(messages []Message) ([]byte, error) {
+	out := make([]encodedMessage, 0, len(messages))
+	for _, m := range messages {
+		body, err := cbor.Marshal(m)
+		if err != nil {
+			return nil, fmt.Errorf("control message %T: %w", m, err)
+		}
+		out = append(out, encodedMessage{Kind: kindOf(m), Body: body})
+	}
+	return cbor.Marshal(out)
+}
+
+func kindOf(m Message) uint {
+	switch m.(type) {
+	case Heartbeat:
+		return kindHeartbeat
+	case HeartbeatAnswer:
+		return kindHeartbeatAnswer
+	case LostVote:
+		return kindLostVote
+	default:
+		return 0
+	}
+}
+
+// DecodeMessages reads the bytes of one datagram. Messages of unknown kinds,
+// written by a newer program, are passed over.
+func DecodeMessages(data []byte) ([]Message, error) {
+	var in []encodedMessage
+	if err := cbor.Unmarshal(data, &in); err != nil {
+		return nil, fmt.Errorf("control datagram: %w", err)
+	}
+	out := make([]Message, 0, len(in))
+	for _, e := range in {
+		m, err := decodeMessage(e)
+		if err != nil {
+			return nil, fmt.Errorf("control datagram: %w", err)
+		}
+		if m != nil {
+			out = append(out, m)
+		}
+	}
+	return out, nil
+}
+
+func decodeMessage(e encodedMessage) (Message, error) {
+	switch e.Kind {
+	case kindHeartbeat:
+		return decodeBody[Heartbeat](e.Body)
+	case kindHeartbeatAnswer:
+		return decodeBody[HeartbeatAnswer](e.Body)
+	case kindLostVote:
+		return decodeBody[LostVote](e.Body)
+	default:
+		return nil, nil
+	}
+}
+
+func decodeBody[T Message](data []byte) (Message, error) {
+	var m T
+	err := cbor.Unmarshal(data, &m)
+	return m, err
+}
--- a/core/control/fake_test.go
+++ b/core/control/fake_test.go
@@ -17,6 +17,8 @@
 	testTick    = 20 * time.Millisecond
 	nearLatency = 2 * time.Millisecond  // between two processes
 	farLatency  = 30 * time.Millisecond // from the log to its readers
+
+	datagramOverhead = 16 + 28 // bytes: sender and checksum, UDP and IP
 )
 
 type (
@@ -274,6 +276,9 @@
 func (i *testInstance) send(e SendMessage) {
 	f, from := i.fleet, i.core.self
 	f.sent[fmt.Sprintf("%T", e.Message)]++
+	if data, err := EncodeMessages([]Message{e.Message}); err == nil {
+		f.bytes += len(data) + datagramOverhead
+	}
 	to, ok := f.instances[e.To.Instance]
 	if !ok || f.cut(from.Instance, e.To.Instance) {
 		return
--- a/core/control/lease.go
+++ b/core/control/lease.go
@@ -18,18 +18,21 @@
 	logSilence = time.Second
 	// maxRounds bounds the heartbeat rounds whose answers still count.
 	maxRounds = 16
+	// logRenewalShare is the share of the lease at whose rest a member whose
+	// witnesses do not answer renews through the log.
+	logRenewalShare = 3
 )
 
 // leaseState is what an instance knows of its own lease.
 type leaseState struct {
 	round    uint64                      // of the last heartbeat
-	sent     time.Time                   // of the last heartbeat or renewal
+	sent     time.Time                   // of the last heartbeat
 	rounds   map[uint64]time.Time        // end of the lease by round, if a majority answers
 	promised map[record.Writer]time.Time // until then the witness surely votes nothing
 	renewals map[string]time.Time        // end of the lease by ID of a record not read back yet
 	logged   time.Time                   // end of the lease by records read back
-	named    time.Time                   // when the present witnesses were folded
-	gaveUp   bool                        // the run is to end; its lease is used no more
+	wrote    time.Time                   // of the last renewal through the log
+	gaveUp   bool                        // the run leaves; its lease is used no more
 }
 
 func newLeaseState() leaseState {
@@ -75,18 +78,18 @@
 	return now.Add(c.atMost(c.timing().Lease.Std()))
 }
 
-// decideLease renews the own lease: through the witnesses, or through the log
-// while there are none.
+// decideLease renews the own lease: through the witnesses, and through the log
+// while there are none or they do not answer.
 func (c *Core) decideLease(now time.Time) []Effect {
 	m := c.state.Members[c.self.Instance]
 	if c.lease.gaveUp {
 		return c.propose("leave", record.InstanceLeft{}, now)
 	}
-	if len(m.Witnesses) == 0 {
-		return c.renewThroughLog(now)
-	}
 	out := c.sendHeartbeats(m, now)
-	return append(out, c.giveUp(now)...)
+	if left := c.leaseUntil().Sub(now); len(m.Witnesses) > 0 && left > c.timing().Lease.Std()/logRenewalShare {
+		return out
+	}
+	return append(out, c.renewThroughLog(now)...)
 }
 
 // renewThroughLog writes a renewal at each heartbeat time. It takes a new ID
@@ -96,10 +99,10 @@
 	if len(c.lease.renewals) > 0 {
 		wait = logRenewalLimit
 	}
-	if now.Sub(c.lease.sent) < wait {
+	if now.Sub(c.lease.wrote) < wait {
 		return nil
 	}
-	c.lease.sent = now
+	c.lease.wrote = now
 	delete(c.pending, "lease")
 	for id, end := range c.lease.renewals {
 		if now.After(end) {
@@ -124,7 +127,7 @@
 }
 
 func (c *Core) sendHeartbeats(m state.Member, now time.Time) []Effect {
-	if now.Sub(c.lease.sent) < c.timing().Heartbeat.Std() {
+	if len(m.Witnesses) == 0 || now.Sub(c.lease.sent) < c.timing().Heartbeat.Std() {
 		return nil
 	}
 	c.lease.sent = now
@@ -144,19 +147,3 @@
 		c.lease.promised[from] = end
 	}
 }
-
-// giveUp ends a run whose lease lapsed and is not renewed, so that the
-// instance can join again. Without the log it waits instead: the witnesses may
-// answer again.
-func (c *Core) giveUp(now time.Time) []Effect {
-	lapsed := c.leaseUntil()
-	if c.lease.named.After(lapsed) {
-		lapsed = c.lease.named
-	}
-	if now.Sub(lapsed) < 2*c.longestLease || now.Sub(c.logHeard) > logSilence {
-		return nil
-	}
-	c.lease.gaveUp = true
-	out := []Effect{Log{Message: "lease not renewed, joining again", Detail: c.self.String()}}
-	return append(out, c.propose("leave", record.InstanceLeft{}, now)...)
-}
--- a/core/control/lease_test.go
+++ b/core/control/lease_test.go
@@ -1,18 +1,299 @@
 package control
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bronzewind.example/core/config"
+	"bronzewind.example/core/record"
+	"bronzewind.example/core/state"
 )
 
-func TestFleetSettles(t *testing.T) {
-	for _, n := range []int{1, 2, 3, 8, 16} {
+func TestFleetOfAnySizeHoldsLeases(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 4, 8, 16} {
 		f, _ := settled(t, n, 6, nil)
 		for name, i := range f.instances {
 			if !i.core.holdsLease(f.now) {
 				t.Errorf("fleet of %d: %s holds no lease", n, name)
 			}
 		}
-		t.Log(n, f.now.Sub(time.Unix(1000, 0)), len(f.entries), f.sent, f.events)
+		if diff := cmp.Diff([]string(nil), f.events); diff != "" {
+			t.Errorf("fleet of %d: memberships ended (-want +got):\n%s", n, diff)
+		}
+	}
+}
+
+// role says which instances a test fails.
+type role string
+
+const (
+	coordinator role = "coordinator"
+	dispatcher  role = "dispatcher"
+	witness     role = "witness" // of the dispatcher
+)
+
+// holder returns the instance with the role.
+func (f *testFleet) holder(r role) string {
+	v := f.truth.Services["orders"]
+	at := ""
+	for _, name := range v.ServerNames() {
+		if at = v.Servers[name].Row.Dispatcher.Instance; at != v.Coordinator.Instance {
+			break
+		}
+	}
+	switch r {
+	case coordinator:
+		return v.Coordinator.Instance
+	case dispatcher:
+		return at
+	default:
+		for _, w := range f.truth.Members[at].Witnesses {
+			if w.Instance != v.Coordinator.Instance {
+				return w.Instance
+			}
+		}
+		return ""
+	}
+}
+
+func TestKeysServedAgainAfterLoss(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		fleet  int
+		lost   []role
+		within time.Duration
+	}{
+		{"coordinator", 8, []role{coordinator}, time.Second},
+		{"dispatcher", 8, []role{dispatcher}, time.Second},
+		{"witness", 8, []role{witness}, time.Second},
+		{"dispatcher of 2", 2, []role{dispatcher}, time.Second},
+		{"dispatcher of 3", 3, []role{dispatcher}, time.Second},
+		{"dispatcher and witness", 8, []role{dispatcher, witness}, time.Second},
+		{"dispatcher and coordinator", 8, []role{dispatcher, coordinator}, time.Second},
+		{"all three", 8, []role{dispatcher, coordinator, witness}, time.Second},
+		{"two of five", 5, []role{dispatcher, witness}, time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f, _ := settled(t, tc.fleet, 6, nil)
+			var lost []string
+			for _, r := range tc.lost {
+				lost = append(lost, f.holder(r))
+			}
+			for _, name := range lost {
+				f.instances[name].dead = true
+			}
+			took := f.runUntil("served again", 20*time.Second, f.served)
+			f.checkSenders()
+			if took > tc.within {
+				t.Errorf("served again after %v, want within %v", took, tc.within)
+			}
+			t.Logf("lost %v, served again after %v", lost, took)
+		})
+	}
+}
+
+// checkSenders fails the test when two instances may send to one server.
+func (f *testFleet) checkSenders() {
+	f.t.Helper()
+	for name := range f.servers {
+		if got := f.senders(name); len(got) > 1 {
+			slices.Sort(got)
+			f.t.Errorf("at %v: %v may all send to %s", f.now, got, name)
+		}
+	}
+}
+
+func TestKeysServedAgainAfterBackendServerLoss(t *testing.T) {
+	f, _ := settled(t, 8, 6, nil)
+	f.servers["server-0"].dead = true
+	took := f.runUntil("served again", 5*time.Second, f.servedByLiving)
+	if took > unavailableTarget {
+		t.Errorf("served again after %v, want within %v", took, unavailableTarget)
+	}
+}
+
+func TestPausedInstanceUsesNoOldAuthority(t *testing.T) {
+	f, _ := settled(t, 8, 6, nil)
+	name := f.holder(dispatcher)
+	i := f.instances[name]
+	for _, pause := range []time.Duration{300 * time.Millisecond, 700 * time.Millisecond, 3 * time.Second} {
+		i.paused = true
+		for range pause / (10 * time.Millisecond) {
+			f.run(10 * time.Millisecond)
+			f.checkSenders()
+		}
+		i.resume()
+		for range 300 {
+			f.run(10 * time.Millisecond)
+			f.checkSenders()
+		}
+		f.runUntil("served again", 5*time.Second, f.served)
+	}
+	if !i.core.holdsLease(f.now) {
+		t.Errorf("%s holds no lease after its pauses", name)
+	}
+}
+
+func TestOneWayPartitionReplacesWitness(t *testing.T) {
+	f, _ := settled(t, 8, 6, nil)
+	name := f.holder(dispatcher)
+	deaf := f.truth.Members[name].Witnesses[0]
+	f.cut = func(from, to string) bool { return from == name && to == deaf.Instance }
+	f.run(3 * time.Second)
+	if !f.served() {
+		t.Error("not served while one witness hears nothing")
+	}
+	if slices.Contains(f.truth.Members[name].Witnesses, deaf) {
+		t.Errorf("%s still has %s as its witness", name, deaf)
+	}
+	if diff := cmp.Diff([]string(nil), f.events); diff != "" {
+		t.Errorf("memberships ended (-want +got):\n%s", diff)
+	}
+}
+
+func TestIsolatedInstanceJoinsAgain(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		servers bool // backend servers are out of reach, too
+	}{
+		{"from all", true},
+		{"from instances and log", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f, _ := settled(t, 8, 6, nil)
+			name := f.holder(dispatcher)
+			f.cut = func(from, to string) bool {
+				_, server := f.servers[to]
+				return (from == name || to == name) && (tc.servers || !server)
+			}
+			for range 300 {
+				f.run(10 * time.Millisecond)
+				f.checkSenders()
+			}
+			f.cut = func(string, string) bool { return false }
+			f.runUntil("all served and joined", 5*time.Second, func() bool { return f.served() && f.witnessed() })
+			if diff := cmp.Diff([]string{"ended " + name}, f.events); diff != "" {
+				t.Errorf("memberships ended (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestLogOutageLeavesOwnersAtWork(t *testing.T) {
+	f, _ := settled(t, 8, 6, nil)
+	f.logDown = true
+	for range 600 {
+		f.run(100 * time.Millisecond)
+		if !f.served() {
+			t.Fatalf("not served %v into the outage", f.now.Sub(time.Unix(1000, 0)))
+		}
+	}
+	f.logDown = false
+	before := len(f.entries)
+	f.run(2 * time.Second)
+	if n := len(f.entries) - before; n > 5 || len(f.events) > 0 {
+		t.Errorf("%d records and events %v after the outage, want at most 5 and none", n, f.events)
+	}
+}
+
+func TestWholeFleetRestarts(t *testing.T) {
+	f, _ := settled(t, 8, 6, nil)
+	for name, i := range f.instances {
+		i.restart(name)
+	}
+	took := f.runUntil("served again", 20*time.Second, func() bool { return f.served() && f.witnessed() })
+	t.Log(took)
+}
+
+func TestConfigurationAfterJoinsEndsNoMembership(t *testing.T) {
+	f := newTestFleet(t, 4, 3, nil)
+	publication := f.entries[0]
+	f.entries, f.truth = nil, state.New()
+	f.run(5 * time.Second)
+	r, err := record.Decode(publication)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.append(r)
+	f.runUntil("served", 5*time.Second, f.served)
+	if diff := cmp.Diff([]string(nil), f.events); diff != "" {
+		t.Errorf("memberships ended (-want +got):\n%s", diff)
+	}
+}
+
+func TestGracefulLeaveHandsRolesOver(t *testing.T) {
+	f, _ := settled(t, 8, 6, nil)
+	name := f.holder(dispatcher)
+	i := f.instances[name]
+	i.post(LeaveRequested{})
+	took := f.runUntil("handed over", 5*time.Second, i.core.RolesHandedOver)
+	i.post(TrafficStopped{})
+	f.runUntil("left", time.Second, func() bool { _, ok := f.truth.Members[name]; return !ok })
+	f.runUntil("served", 500*time.Millisecond, f.served)
+	f.checkSenders()
+	t.Log(took)
+}
+
+func TestUncheckedServerWaitsOutDeadlines(t *testing.T) {
+	f, _ := settled(t, 8, 6, func(c *config.Configuration) { c.Services[0].ChecksGrants = false })
+	name := f.holder(dispatcher)
+	f.instances[name].dead = true
+	took := f.runUntil("served by another dispatcher", 2*time.Second, f.served)
+	if took > time.Second {
+		t.Errorf("another dispatcher after %v, want within 1 s", took)
+	}
+	f.run(2 * time.Second)
+	f.servers["server-1"].dead = true
+	lost := f.now
+	f.runUntil("slots freed", 10*time.Second, func() bool { return !f.truth.Services["orders"].Servers["server-1"].Up })
+	patience := f.truth.Configuration.Services[0].Kinds[0].Patience.Std()
+	if took := f.now.Sub(lost); took < patience {
+		t.Errorf("slots of the lost server freed after %v, want at least %v", took, patience)
+	}
+}
+
+// rates returns what one instance sends in a second of a settled fleet.
+func TestMessagesPerInstanceAreBounded(t *testing.T) {
+	for _, n := range []int{8, 16, 64, 128} {
+		f, _ := settled(t, n, 6, nil)
+		clear(f.sent)
+		most := 0
+		for _, i := range f.instances {
+			most = max(most, len(i.core.witnessing.watched))
+		}
+		f.bytes = 0
+		f.run(3 * time.Second)
+		total := 0
+		for _, k := range f.sent {
+			total += k
+		}
+		perSecond := float64(total) / float64(n) / 3
+		t.Logf("%d members: %.1f messages and %.0f bytes a second from each, at most %d watched", n, perSecond, float64(f.bytes)/float64(n)/3, most)
+		if perSecond > 45 || most > 2*witnessCount {
+			t.Errorf("%d members: %.1f messages a second from each, %d watched by one", n, perSecond, most)
+		}
+	}
+}
+
+func TestMessagesDecode(t *testing.T) {
+	want := []Message{
+		Heartbeat{Round: 7, Lease: 500 * time.Millisecond},
+		HeartbeatAnswer{Round: 7},
+		LostVote{Member: record.Writer{Instance: "i1", Incarnation: 3}},
+	}
+	data, err := EncodeMessages(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := DecodeMessages(data)
+	if diff := cmp.Diff(want, got); diff != "" || err != nil {
+		t.Errorf("decoded with %v (-want +got):\n%s", err, diff)
+	}
+	if _, err := DecodeMessages([]byte(fmt.Sprint("no messages"))); err == nil {
+		t.Error("garbage was decoded")
 	}
 }
--- a/core/control/leave.go
+++ b/core/control/leave.go
@@ -24,6 +24,9 @@
 	if c.over || c.state.Configuration == nil || !c.othersStay() {
 		return true
 	}
+	if m, ok := c.state.Members[c.self.Instance]; ok && m.Writer == c.self && !m.Leaving {
+		return false
+	}
 	for _, v := range c.state.Services {
 		if v.Coordinator == c.self {
 			return false
--- a/core/control/log.go
+++ b/core/control/log.go
@@ -51,6 +51,7 @@
 
 func (c *Core) setTable() []Effect {
 	if t := route.NewTable(c.state); t != nil {
+		t.Self = c.self
 		return []Effect{SetTable{Table: t}}
 	}
 	return nil
--- a/core/control/member.go
+++ b/core/control/member.go
@@ -25,9 +25,10 @@
 	}
 
 	// LostVote says that its sender, a witness of Member, heard nothing of it
-	// for a lease and never answers it again.
+	// for a lease and answers it no more at this version of its lease.
 	LostVote struct {
-		Member record.Writer `cbor:"1,keyasint"`
+		Member  record.Writer `cbor:"1,keyasint"`
+		Version uint64        `cbor:"2,keyasint"`
 	}
 )
 
@@ -50,6 +51,7 @@
 
 // received takes in a control message.
 func (c *Core) received(e MessageReceived, now time.Time) []Effect {
+	c.witnessing.heard = now
 	switch m := e.Message.(type) {
 	case Heartbeat:
 		return c.answerHeartbeat(e.From, m, now)
--- a/core/control/witness.go
+++ b/core/control/witness.go
@@ -19,16 +19,18 @@
 type (
 	// watch is what a witness knows of one member's lease.
 	watch struct {
-		until  time.Time // the promise to the member surely ends on its clock
-		voted  bool      // the member is never answered again
-		sent   time.Time // of the last vote
-		votes  []record.Writer
-		proved time.Time // when the votes became a majority; zero before
+		version uint64    // of the lease; a new one starts the watch anew
+		until   time.Time // the promise to the member surely ends on its clock
+		voted   bool      // the member is not answered at this version any more
+		sent    time.Time // of the last vote
+		votes   []record.Writer
+		proved  time.Time // when the votes became a majority; zero before
 	}
 
 	// witnessing is what an instance knows of the leases of others.
 	witnessing struct {
-		held        bool                        // the own lease held in the last step
+		heard       time.Time                   // when the last message of another instance came
+		connected   bool                        // as of the last step; an instance that hears nobody votes nobody lost
 		seen        uint64                      // the fold's next offset when the members were last looked over
 		rank        int                         // place in the order of those that write losses
 		refused     []record.Writer             // own witnesses that voted this run lost
@@ -58,17 +60,23 @@
 // is still to be read, so leases through the log count from now on again.
 func (c *Core) heardLog(now time.Time) {
 	if now.Sub(c.logHeard) > logSilence {
-		for w, l := range c.witnessing.logLeases {
-			c.witnessing.logLeases[w] = logLease{version: l.version, read: now}
-		}
+		c.restartLogLeases(now)
 	}
 	c.logHeard = now
 }
 
+func (c *Core) restartLogLeases(now time.Time) {
+	for w, l := range c.witnessing.logLeases {
+		c.witnessing.logLeases[w] = logLease{version: l.version, read: now}
+	}
+}
+
 // followMembers takes up changes of members and timing that were folded.
 func (c *Core) followMembers(now time.Time) {
-	if c.state.Configuration != nil {
-		c.longestLease = max(c.longestLease, c.timing().Lease.Std())
+	if c.state.Configuration != nil && c.timing().Lease.Std() > c.longestLease {
+		c.longestLease = c.timing().Lease.Std()
+		c.restartLogLeases(now)
+		c.graceAfterGap(now)
 	}
 	c.admitted = c.admitted || c.state.IsMember(c.self)
 	if c.witnessing.seen != c.state.MembersChanged {
@@ -96,7 +104,7 @@
 			c.witnessing.ended[w] = now
 		}
 	}
-	c.witnessing.watched, c.witnessing.unwitnessed = nil, nil
+	c.witnessing.watched, c.witnessing.unwitnessed, c.witnessing.refused = nil, nil, nil
 	for i, name := range c.state.MemberNames() {
 		m := c.state.Members[name]
 		c.watchMember(m, now)
@@ -113,15 +121,12 @@
 	l, ok := c.witnessing.logLeases[m.Writer]
 	if !ok || l.version != m.LeaseVersion {
 		c.witnessing.logLeases[m.Writer] = logLease{version: m.LeaseVersion, read: now}
-		if m.Writer == c.self {
-			c.lease.named = now
-		}
 	}
 	if !c.isWitnessOf(m.Writer) {
 		return
 	}
-	if _, ok := c.witnessing.watches[m.Writer]; !ok {
-		c.witnessing.watches[m.Writer] = &watch{until: now.Add(c.surely(c.longestLease))}
+	if w, ok := c.witnessing.watches[m.Writer]; !ok || w.version != m.LeaseVersion {
+		c.witnessing.watches[m.Writer] = &watch{version: m.LeaseVersion, until: now.Add(c.surely(c.longestLease))}
 	}
 	c.witnessing.watched = append(c.witnessing.watched, m.Writer)
 }
@@ -162,37 +167,41 @@
 	}
 }
 
-// answerHeartbeat promises the sender a lease. A lease longer than any that
-// the instance knows of is not promised: the instance lags behind the
-// configuration.
+// answerHeartbeat promises the sender a lease. Without a lease of its own the
+// instance promises nothing, but the sender still counts as heard of. A lease
+// longer than any that the instance knows of is not promised: the instance
+// lags behind the configuration.
 func (c *Core) answerHeartbeat(from record.Writer, h Heartbeat, now time.Time) []Effect {
 	w, ok := c.witnessing.watches[from]
-	if !ok || w.voted || !c.holdsLease(now) || h.Lease > c.longestLease {
+	if !ok || w.voted {
 		return nil
 	}
-	if end := now.Add(c.surely(h.Lease)); end.After(w.until) {
+	if end := now.Add(c.surely(min(h.Lease, c.longestLease))); end.After(w.until) {
 		w.until = end
 	}
+	if !c.holdsLease(now) || h.Lease > c.longestLease {
+		return nil
+	}
 	return []Effect{SendMessage{To: from, Message: HeartbeatAnswer{Round: h.Round}}}
 }
 
 // decideVotes votes silent members lost, tells the votes to the other
 // witnesses, and writes a loss that a majority proves.
 func (c *Core) decideVotes(now time.Time) []Effect {
-	holds := c.holdsLease(now)
-	if holds && !c.witnessing.held {
+	connected := c.holdsLease(now) || now.Sub(c.witnessing.heard) < c.timing().Lease.Std()
+	if connected && !c.witnessing.connected {
 		c.graceAfterGap(now)
 	}
-	c.witnessing.held = holds
+	c.witnessing.connected = connected
 	var out []Effect
 	for _, member := range c.witnessing.watched {
-		out = append(out, c.decideVote(c.state.Members[member.Instance], c.witnessing.watches[member], holds, now)...)
+		out = append(out, c.decideVote(c.state.Members[member.Instance], c.witnessing.watches[member], connected, now)...)
 	}
 	return out
 }
 
-func (c *Core) decideVote(m state.Member, w *watch, holds bool, now time.Time) []Effect {
-	if holds && !w.voted && now.After(w.until) {
+func (c *Core) decideVote(m state.Member, w *watch, connected bool, now time.Time) []Effect {
+	if connected && !w.voted && now.After(w.until) {
 		w.voted = true
 		w.vote(c.self)
 	}
@@ -218,10 +227,10 @@
 // sendVotes tells the vote to the other witnesses and to the member itself,
 // which may still live and then has the instance replaced.
 func (c *Core) sendVotes(m state.Member) []Effect {
-	out := []Effect{SendMessage{To: m.Writer, Message: LostVote{Member: m.Writer}}}
+	out := []Effect{SendMessage{To: m.Writer, Message: LostVote{Member: m.Writer, Version: m.LeaseVersion}}}
 	for _, w := range m.Witnesses {
 		if w != c.self {
-			out = append(out, SendMessage{To: w, Message: LostVote{Member: m.Writer}})
+			out = append(out, SendMessage{To: w, Message: LostVote{Member: m.Writer, Version: m.LeaseVersion}})
 		}
 	}
 	return out
@@ -245,6 +254,10 @@
 }
 
 func (c *Core) voteReceived(from record.Writer, v LostVote) {
+	m := c.state.Members[v.Member.Instance]
+	if m.Writer != v.Member || m.LeaseVersion != v.Version {
+		return
+	}
 	if v.Member == c.self {
 		if !slices.Contains(c.witnessing.refused, from) {
 			c.witnessing.refused = append(c.witnessing.refused, from)
--- a/core/record/membership.go
+++ b/core/record/membership.go
@@ -1,8 +1,8 @@
 package record
 
 type (
-	// LeaseRenewed renews the lease of a member without witnesses; void when
-	// it has some.
+	// LeaseRenewed renews the writer's lease, which counts from the making of
+	// the record. Losses that build on earlier renewals are void after it.
 	LeaseRenewed struct{}
 
 	// WitnessRow names the witnesses of one member; void unless Base is the
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -48,6 +48,7 @@
 		Forward       string `cbor:"4,keyasint"` // QUIC address of forwarded requests
 		Admin         string `cbor:"5,keyasint"` // HTTP address of probes and metrics
 		Fingerprint   []byte `cbor:"6,keyasint"` // SHA-256 of the instance's certificate
+		ControlKey    []byte `cbor:"7,keyasint"` // X25519 public key of control traffic
 	}
 
 	// InstanceLeft ends the writer's membership at its own wish; it holds
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -19,6 +19,7 @@
 	Table struct {
 		Configuration *config.Configuration // never nil
 		Offset        uint64                // the fold's next offset at the time
+		Self          record.Writer         // the run that reads the snapshot; it changes when an instance joins again
 		services      map[string]*Service
 	}
 
--- a/core/state/membership.go
+++ b/core/state/membership.go
@@ -33,7 +33,7 @@
 
 func (s *State) renewLease(w record.Writer) Verdict {
 	m, ok := s.Members[w.Instance]
-	if !ok || m.Writer != w || len(m.Witnesses) > 0 {
+	if !ok || m.Writer != w {
 		return Stale
 	}
 	m.LeaseVersion++
--- a/router/caller/server.go
+++ b/router/caller/server.go
@@ -143,7 +143,8 @@
 
 // try sends r to the owner that the present snapshot names.
 func (s *Server) try(ctx context.Context, r *dispatch.Request) (*dispatch.Answer, error) {
-	v, ok := s.table.Load().Service(r.Service)
+	t := s.table.Load()
+	v, ok := t.Service(r.Service)
 	if !ok {
 		return nil, code.NewError(code.NoService, "service "+r.Service+" is configured no longer")
 	}
@@ -152,7 +153,7 @@
 		return nil, code.NewError(code.NoOwner, "no backend server owns the key at present")
 	}
 	r.Server = server.Name
-	if server.Dispatcher == s.self {
+	if server.Dispatcher == t.Self {
 		return s.local.Do(ctx, r)
 	}
 	ctx, span := s.tracer.Start(ctx, "forward", trace.WithAttributes(
--- a/router/daemon/daemon.go
+++ b/router/daemon/daemon.go
@@ -4,6 +4,7 @@
 //	list        --ServersListed->|         | --SendGrant----> backend servers
 //	backend     --GrantAnswered->| control | --SetTable-----> caller, dispatch
 //	dispatch    --SlotsDrained-->|         | --Authorize----> dispatch
+//	instances   --MessageRec.--->|         | --SendMessage--> instances
 //	timer       --Ticked-------->+---------+ --HoldSlots----> dispatch
 //
 // One goroutine runs control. Traffic reads the snapshot that SetTable
@@ -38,6 +39,8 @@
 	eventBuffer  = 1024
 	appendBuffer = 256
 	drainLimit   = 30 * time.Second
+	leaveLimit   = 10 * time.Second // for handing roles over; then the witnesses notice the loss
+	leftLimit    = 2 * time.Second  // for the record that ends the membership
 )
 
 type (
@@ -59,11 +62,21 @@
 		entry    *caller.Server
 		dispatch *dispatch.Set
 		client   *peer.Client
+		control  *peer.Control
+		peers    peersVersion // used by the control goroutine alone
+		leaving  atomic.Bool
+		left     chan struct{} // closed when the membership has ended after a leave
 		table    atomic.Pointer[route.Table]
 		ready    atomic.Bool
 		status   atomic.Pointer[status]
 	}
 
+	// peersVersion tells which members the control transport knows.
+	peersVersion struct {
+		self    record.Writer
+		changed uint64 // State.MembersChanged
+	}
+
 	// goroutine is a part of the daemon that runs until its context ends.
 	goroutine struct {
 		name string
@@ -77,6 +90,10 @@
 	if err != nil {
 		return nil, err
 	}
+	key, err := peer.NewControlKey()
+	if err != nil {
+		return nil, fmt.Errorf("control key: %w", err)
+	}
 	tracing, err := newTracing(s.Trace, s.Instance)
 	if err != nil {
 		return nil, err
@@ -90,13 +107,16 @@
 		core: control.NewCore(self, record.InstanceJoined{
 			Region: s.Region, FailureDomain: s.FailureDomain, Control: s.Control,
 			Forward: s.Forward, Admin: s.Admin, Fingerprint: identity.Fingerprint(),
+			ControlKey: key.PublicKey().Bytes(),
 		}),
 		events:   make(chan control.Event, eventBuffer),
 		appends:  make(chan record.Record, appendBuffer),
 		readFrom: make(chan uint64, 1),
+		left:     make(chan struct{}),
 		client:   peer.NewClient(identity),
 		grants:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
 	}
+	d.control = peer.NewControl(key, d.received, d.log)
 	d.dispatch = dispatch.NewSet(self,
 		dispatch.WithTracer(tracing.tracer),
 		dispatch.WithDrained(func(e control.SlotsDrained) { d.events <- e }))
@@ -116,6 +136,7 @@
 		{"load reader", d.followLoad},
 		{"admin", d.serveAdmin},
 		{"forward", d.serveForward},
+		{"control transport", func(ctx context.Context) error { return d.control.Serve(ctx, d.settings.Control) }},
 	}
 	ended := make(chan error, len(parts)+1)
 	for _, p := range parts {
@@ -123,21 +144,28 @@
 	}
 	entryCtx, stopEntry := context.WithCancel(run)
 	defer stopEntry()
-	go func() { ended <- wrap("callers", d.serveCallers(entryCtx)) }()
+	entry := make(chan error, 1)
+	go func() { entry <- wrap("callers", d.serveCallers(entryCtx)) }()
 	d.log.Info("started", "listen", d.settings.Listen, "incarnation", d.self.Incarnation)
 
 	var errs []error
-	left := len(parts) + 1
+	left := len(parts)
 	select {
 	case <-ctx.Done():
-		d.log.Info("draining")
-		stopEntry()
-		errs = append(errs, <-ended)
+		d.handOver(run)
 	case err := <-ended:
 		errs = append(errs, err)
+		left--
+	case err := <-entry:
+		entry <- err
+	}
+	stopEntry()
+	errs = append(errs, <-entry)
+	if ctx.Err() != nil {
+		d.endMembership(run)
 	}
 	stop()
-	for left--; left > 0; left-- {
+	for ; left > 0; left-- {
 		errs = append(errs, <-ended)
 	}
 	d.client.Close()
@@ -168,12 +196,27 @@
 		case <-ticker.C:
 			e = control.Ticked{}
 		}
-		for _, effect := range d.core.Step(e, d.clock.Now()) {
-			d.carryOut(ctx, effect, &grants)
+		d.step(ctx, e, &grants)
+	}
+}
+
+// step carries out what follows from one event; messages to the same peer go
+// in one datagram.
+func (d *Daemon) step(ctx context.Context, e control.Event, grants *sync.WaitGroup) {
+	var messages outbox
+	for _, effect := range d.core.Step(e, d.clock.Now()) {
+		if m, ok := effect.(control.SendMessage); ok {
+			messages.add(m)
+			continue
 		}
-		d.ready.Store(d.core.Ready())
-		d.status.Store(newStatus(d.core))
+		d.carryOut(ctx, effect, grants)
+	}
+	d.setPeers()
+	for _, m := range messages {
+		d.control.Send(m.to, m.messages)
 	}
+	d.ready.Store(d.core.Ready() && !d.leaving.Load())
+	d.status.Store(newStatus(d.core))
 }
 
 func (d *Daemon) carryOut(ctx context.Context, e control.Effect, grants *sync.WaitGroup) {
@@ -196,8 +239,9 @@
 		d.dispatch.Authorize(e)
 	case control.HoldSlots:
 		d.dispatch.Hold(e)
-	case control.SendMessage:
-		d.log.Debug("no control transport", "to", e.To)
+	case control.SendMessage: // sent by step
+	case control.RunEnded:
+		d.endRun()
 	case control.Log:
 		d.log.Info(e.Message, "detail", e.Detail)
 	}
--- a/router/daemon/platform.go
+++ b/router/daemon/platform.go
@@ -23,6 +23,10 @@
 	retryPause    = 100 * time.Millisecond
 	loadInterval  = 2 * time.Second
 
+	// unnamedRun stands for the run of a backend server that checks no grants
+	// and names no run of its own.
+	unnamedRun = 1
+
 	fleetAppends = 200 // a second, of all instances together
 	appendBurst  = 16  // of one instance
 )
@@ -161,6 +165,9 @@
 		Sent: d.clock.Now(), Grant: g.Grant,
 	}
 	answer, err := d.putGrant(ctx, g)
+	if !g.Checks && err == nil && answer.Incarnation == 0 {
+		answer.Incarnation = unnamedRun
+	}
 	e.Answer = answer
 	if err != nil {
 		e.Err = err.Error()
@@ -185,10 +192,10 @@
 		return a, err
 	}
 	defer resp.Body.Close()
-	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil {
+	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil && g.Checks {
 		return a, fmt.Errorf("grant answer: %w", err)
 	}
-	if a.Incarnation == 0 {
+	if a.Incarnation == 0 && g.Checks {
 		return a, errors.New("grant answer names no incarnation")
 	}
 	return a, nil
--- a/router/daemon/serve.go
+++ b/router/daemon/serve.go
@@ -29,12 +29,16 @@
 	Members       []record.Writer   `json:"members"`
 	Coordinators  map[string]string `json:"coordinators"`
 
+	member       bool
+	handedOver   bool // all roles, after a leave was requested
 	fingerprints map[string]bool
 }
 
 func newStatus(c *control.Core) *status {
 	s := c.State()
 	out := &status{
+		Instance: c.Self().Instance, Incarnation: c.Self().Incarnation,
+		member: s.IsMember(c.Self()), handedOver: c.RolesHandedOver(),
 		Ready: c.Ready(), Configuration: s.Version(), Offset: s.Next,
 		Coordinators: map[string]string{}, fingerprints: map[string]bool{},
 	}
@@ -66,8 +70,7 @@
 		fmt.Fprintln(w, "ready")
 	})
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
-		st := *d.status.Load()
-		st.Instance, st.Incarnation = d.self.Instance, d.self.Incarnation
+		st := d.status.Load()
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(st)
 	})
--- a/router/dispatch/set.go
+++ b/router/dispatch/set.go
@@ -79,7 +79,7 @@
 		}
 		servers := v.Servers()
 		for j := range servers {
-			if servers[j].Dispatcher != s.self {
+			if servers[j].Dispatcher != t.Self {
 				continue
 			}
 			key := serverKey{service: v.Config.Name, server: servers[j].Name}
