--- a/core/control/lease_test.go
+++ b/core/control/lease_test.go
@@ -159,12 +159,14 @@
 	for _, tc := range []struct {
 		name    string
 		servers bool // backend servers are out of reach, too
+		checks  bool // backend servers check grants
 	}{
-		{"from all", true},
-		{"from instances and log", false},
+		{"from all", true, true},
+		{"from instances and log", false, true},
+		{"from instances and log, servers check no grants", false, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			f, _ := settled(t, 8, 6, nil)
+			f, _ := settled(t, 8, 6, func(c *config.Configuration) { c.Services[0].ChecksGrants = tc.checks })
 			name := f.holder(dispatcher)
 			f.cut = func(from, to string) bool {
 				_, server := f.servers[to]
