--- a/core/control/assign.go
+++ b/core/control/assign.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -428,7 +429,7 @@
 			return false
 		}
 		low := p.least(bins)
-		if i := high.pick(low, m); i >= 0 {
+		if i := high.pick(low); i >= 0 {
 			u := high.units[i]
 			high.units = slices.Delete(high.units, i, i+1)
 			high.load -= u.weight
@@ -440,30 +441,22 @@
 	}
 }
 
-// pick returns the index of the unit to move from b to low: the heaviest that
-// takes neither past the mean, or else the lightest if low stays below b. It
-// returns -1 when no unit does.
-func (b *bin) pick(low *bin, mean float64) int {
-	fit := min(b.load-mean*b.capacity, mean*low.capacity-low.load)
-	best, lightest := -1, -1
+// pick returns the index of the unit to move from b to low: the one that
+// lowers the sum of load squared by capacity most, which is the one whose
+// weight is nearest to what makes both equal. It returns -1 when no unit
+// lowers it.
+func (b *bin) pick(low *bin) int {
+	even := (b.utilisation() - low.utilisation()) / (1/b.capacity + 1/low.capacity)
+	best := -1
 	for i, u := range b.units {
-		if u.moving || u.weight <= 0 {
+		if u.moving || u.weight <= 0 || u.weight >= 2*even {
 			continue
 		}
-		if u.weight <= fit && (best < 0 || u.weight > b.units[best].weight) {
+		if best < 0 || math.Abs(u.weight-even) < math.Abs(b.units[best].weight-even) {
 			best = i
 		}
-		if lightest < 0 || u.weight < b.units[lightest].weight {
-			lightest = i
-		}
-	}
-	if best >= 0 || lightest < 0 {
-		return best
-	}
-	if w := b.units[lightest].weight; (low.load+w)/low.capacity < (b.load-w)/b.capacity {
-		return lightest
 	}
-	return -1
+	return best
 }
 
 func (c change) empty() bool { return len(c.ranges)+len(c.keys) == 0 }
--- /dev/null
+++ b/core/control/assign_test.go
@@ -0,0 +1,207 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bronzewind.example/core/keyspace"
+	"bronzewind.example/core/record"
+)
+
+func TestFirstAssignmentIsEven(t *testing.T) {
+	f := newTestFleet(t, 3, "s1", "s2", "s3", "s4")
+	f.run(3 * time.Second)
+	want := map[string]int{"s1": 16, "s2": 16, "s3": 16, "s4": 16}
+	if diff := cmp.Diff(want, f.owned()); diff != "" {
+		t.Errorf("slots owned (-want +got):\n%s", diff)
+	}
+}
+
+func TestJoiningServerTakesItsShareByPlannedMoves(t *testing.T) {
+	f := newTestFleet(t, 3, "s1", "s2", "s3")
+	f.run(3 * time.Second)
+	f.addServer("s4")
+	served := f.alwaysOwned()
+	f.run(60*time.Second, served)
+	if got := f.owned()["s4"]; got < 13 || got > 19 {
+		t.Errorf("s4 owns %d slots of 64, want 13 to 19: %v", got, f.owned())
+	}
+}
+
+func TestLeavingServerIsEmptiedAndOwnsThroughout(t *testing.T) {
+	for name, leave := range map[string]func(f *testFleet){
+		"list says so":   func(f *testFleet) { f.listed[0].Leaving = true },
+		"server says so": func(f *testFleet) { f.servers["s1"].leaving = true },
+		"gone from list": func(f *testFleet) { f.listed = f.listed[1:] },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(t, 3, "s1", "s2", "s3")
+			f.run(3 * time.Second)
+			leave(f)
+			f.run(5*time.Second, f.alwaysOwned())
+			if diff := cmp.Diff(map[string]int{"s2": 32, "s3": 32}, f.owned()); diff != "" {
+				t.Errorf("slots owned (-want +got):\n%s", diff)
+			}
+			_, kept := f.service().Servers["s1"]
+			if want := name != "gone from list"; kept != want {
+				t.Errorf("s1 is kept: want %v, got %v", want, kept)
+			}
+		})
+	}
+}
+
+// alwaysOwned returns a check that each slot has an owner.
+func (f *testFleet) alwaysOwned() func() {
+	return func() {
+		f.t.Helper()
+		for i, row := range f.service().Slots {
+			if row.Owner == "" {
+				f.t.Fatalf("slot %d has no owner", i)
+			}
+		}
+	}
+}
+
+func TestLostServersSlotsAreReassignedAtOnce(t *testing.T) {
+	f := newTestFleet(t, 3, "s1", "s2", "s3")
+	f.run(3 * time.Second)
+	f.servers["s1"].down = true
+	f.run(900 * time.Millisecond)
+	if diff := cmp.Diff(map[string]int{"s2": 32, "s3": 32}, f.owned()); diff != "" {
+		t.Errorf("slots owned (-want +got):\n%s", diff)
+	}
+}
+
+func TestMoveWhoseNextOwnerIsLostGoesElsewhere(t *testing.T) {
+	f := newTestFleet(t, 3, "s1", "s2", "s3")
+	f.run(3 * time.Second)
+	f.dispatcher("s1").inFlight["s1"] = true
+	f.listed[0].Leaving = true
+	f.run(200 * time.Millisecond)
+	f.servers["s2"].down = true
+	f.run(2*time.Second, func() {})
+	n := f.dispatcher("s1")
+	n.inFlight["s1"] = false
+	h := n.holds[len(n.holds)-1]
+	f.step(n, SlotsDrained{Service: h.Service, Server: h.Server, Hold: h.Hold})
+	f.run(2 * time.Second)
+	if diff := cmp.Diff(map[string]int{"s3": 64}, f.owned()); diff != "" {
+		t.Errorf("slots owned (-want +got):\n%s", diff)
+	}
+}
+
+func TestLateDrainOfAnEarlierHoldRevokesNothing(t *testing.T) {
+	f := newTestFleet(t, 1, "s1", "s2")
+	f.run(3 * time.Second)
+	n := f.nodes[0]
+	n.inFlight["s1"] = true
+	f.listed[0].Leaving = true
+	f.run(time.Second)
+	held := n.holds[len(n.holds)-1]
+	f.step(n, SlotsDrained{Service: "proofs", Server: "s1", Hold: held.Hold - 1, Ranges: held.Ranges})
+	f.run(time.Second)
+	if got := f.owned()["s1"]; got != 32 {
+		t.Errorf("s1 owns %d slots, want 32: work of them is in flight", got)
+	}
+}
+
+func TestLoadedSlotsMoveWithinTheBudget(t *testing.T) {
+	f := newTestFleet(t, 3, "s1", "s2", "s3", "s4")
+	f.run(3 * time.Second)
+	before := f.service().Slots
+	load := func() {
+		n := f.coordinator()
+		for name := range f.servers {
+			l := LoadReported{Service: "proofs", Server: name, Rest: 0.2}
+			for i, row := range f.service().Slots {
+				if row.Owner == name && i < 8 {
+					l.Slots = append(l.Slots, SlotLoad{Slot: keyspace.Slot(i), Load: 0.6})
+				}
+			}
+			f.step(n, LoadMeasured{Load: l})
+		}
+	}
+	before = append(before[:0:0], before...)
+	f.run(10*time.Second, load)
+	if moved := changed(before, f.service().Slots); moved > 8 {
+		t.Errorf("%d slots moved in 10 s, want at most 8", moved)
+	}
+	f.run(60*time.Second, load)
+	got := map[string]int{}
+	for _, row := range f.service().Slots[:8] {
+		got[row.Owner]++
+	}
+	if diff := cmp.Diff(map[string]int{"s1": 2, "s2": 2, "s3": 2, "s4": 2}, got); diff != "" {
+		t.Errorf("loaded slots owned (-want +got):\n%s", diff)
+	}
+}
+
+func TestHotKeyGetsARowAndMovesAlone(t *testing.T) {
+	f := newTestFleet(t, 3, "s1", "s2", "s3", "s4")
+	f.run(3 * time.Second)
+	hot := []keyspace.Hash{testHash(0), testHash(64), testHash(128), testHash(192)} // all in slot 0
+	owner := f.service().Slots[0].Owner
+	load := func() {
+		n := f.coordinator()
+		for name := range f.servers {
+			l := LoadReported{Service: "proofs", Server: name, Rest: 0.1}
+			for _, h := range hot {
+				if f.service().Row(h).Owner != name {
+					continue
+				}
+				l.Keys = append(l.Keys, KeyLoad{Hash: h, Load: 2})
+				if !f.service().Hot(h) {
+					l.Rest += 2
+				}
+			}
+			f.step(n, LoadMeasured{Load: l})
+		}
+	}
+	f.run(60*time.Second, load, f.alwaysOwned())
+	owners := map[string]int{}
+	for _, h := range hot {
+		owners[f.service().Row(h).Owner]++
+	}
+	if diff := cmp.Diff(map[string]int{"s1": 1, "s2": 1, "s3": 1, "s4": 1}, owners); diff != "" {
+		t.Errorf("hot keys owned (-want +got):\n%s", diff)
+	}
+	if got := f.service().Slots[0].Owner; got != owner {
+		t.Errorf("slot 0 moved from %s to %s with its hot keys", owner, got)
+	}
+	f.run(90 * time.Second)
+	if got := len(f.service().Keys); got != 0 {
+		t.Errorf("%d keys have rows after they cooled, want 0", got)
+	}
+}
+
+func TestReleaseThatLandsLateEndsNoLaterMove(t *testing.T) {
+	f := newTestFleet(t, 1, "s1", "s2", "s3")
+	f.run(3 * time.Second)
+	n := f.nodes[0]
+	n.inFlight["s1"] = true
+	f.listed[0].Leaving = true
+	f.run(time.Second)
+	v := f.service()
+	late := record.Record{ID: "late", Writer: n.core.self, Since: f.state().Next, Body: record.SlotsReleased{
+		Service: "proofs", Epoch: v.Servers["s1"].Epoch, Ranges: v.OwnedBy("s1"), Through: v.Version,
+	}}
+	f.listed[0].Leaving = false
+	f.listed[1].Leaving = true
+	f.run(5 * time.Second) // the moves away from s1 end where s2 was the next owner
+	f.listed[0].Leaving = true
+	f.run(time.Second)
+	f.append(late)
+	f.run(time.Second) // the check of sole ownership fails when it counts
+}
+
+func changed[R comparable](before, after []R) int {
+	n := 0
+	for i := range before {
+		if before[i] != after[i] {
+			n++
+		}
+	}
+	return n
+}
--- a/core/control/control.go
+++ b/core/control/control.go
@@ -134,6 +134,7 @@
 		loads    map[serverKey]measuredLoad
 		plans    map[string]*planState // by service, while the instance coordinates it
 		vacant   map[string]time.Time  // by service, since when it has no coordinator
+		readAt   time.Time             // of the last answer of the log
 		oldest   uint64                // offset of the oldest record that the log still keeps
 		saved    savedState
 		sequence uint64
@@ -146,7 +147,7 @@
 	pending struct {
 		record record.Record
 		tries  int
-		sent   time.Time
+		due    time.Time // when it is appended again
 	}
 )
 
@@ -190,7 +191,7 @@
 	var out []Effect
 	switch e := e.(type) {
 	case RecordsRead:
-		out = c.read(e)
+		out = c.read(e, now)
 	case LogTruncated:
 		out = c.truncated(e)
 	case SnapshotReceived:
--- /dev/null
+++ b/core/control/fleet_test.go
@@ -0,0 +1,252 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"bronzewind.example/core/backend"
+	"bronzewind.example/core/config"
+	"bronzewind.example/core/keyspace"
+	"bronzewind.example/core/platform"
+	"bronzewind.example/core/record"
+	"bronzewind.example/core/state"
+)
+
+const testTick = 10 * time.Millisecond
+
+type (
+	// testFleet runs cores against a log, a list and backend servers in
+	// virtual time.
+	testFleet struct {
+		t       *testing.T
+		now     time.Time
+		log     [][]byte
+		oldest  int  // entries before it have lapsed
+		logDown bool // neither reads nor appends
+		appends int
+		listed  []platform.Listed
+		nodes   []*testNode
+		servers map[string]*testServer
+	}
+
+	testNode struct {
+		core     *Core
+		next     int
+		paused   bool
+		table    int             // SetTable effects
+		inFlight map[string]bool // servers whose held work does not end
+		holds    []HoldSlots
+	}
+
+	testServer struct {
+		down        bool
+		leaving     bool
+		incarnation uint64
+		epoch       uint64
+		sequence    uint64
+		grant       backend.Grant
+	}
+)
+
+func testDocument(version uint64, slots int, services ...string) []byte {
+	c := config.Configuration{
+		Version: version, Fleet: "test",
+		Regions: []config.Region{{Name: "east", FailureDomains: []string{"a", "b"}}},
+		Timing: config.Timing{
+			Lease: config.Duration(500 * time.Millisecond), Heartbeat: config.Duration(100 * time.Millisecond),
+			Grant: config.Duration(400 * time.Millisecond), GrantRenewal: config.Duration(100 * time.Millisecond),
+			DrainLimit: config.Duration(time.Second), DriftPerMil: 5,
+		},
+		Limits: config.Limits{
+			HeaderBytes: 1 << 14, Connections: 100, HeaderTimeout: config.Duration(time.Second),
+			BodyIdleTimeout: config.Duration(time.Second), RetryBudgetRatio: 0.1,
+		},
+		Callers: []config.Caller{{Name: "desk", Cap: 100}},
+	}
+	for _, name := range services {
+		c.Services = append(c.Services, config.Service{
+			Name: name, PathPrefix: "/" + name + "/", Key: config.Key{From: config.KeyFromPath},
+			Slots: slots, ServerSlots: 6, Connections: 100, ChecksGrants: true,
+			Kinds: []config.Kind{{
+				Name: "lookup", Method: "GET", Worth: 1, Target: config.Duration(time.Second),
+				Patience: config.Duration(2 * time.Second), ServiceTime: config.Duration(5 * time.Millisecond), QueueLimit: 100,
+			}},
+		})
+	}
+	data, err := c.Encode()
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func newTestFleet(t *testing.T, nodes int, servers ...string) *testFleet {
+	f := &testFleet{t: t, now: time.Unix(1000, 0), servers: map[string]*testServer{}}
+	f.append(record.Record{ID: "publish", Body: record.ConfigurationPublished{Document: testDocument(1, 64, "proofs")}})
+	for _, s := range servers {
+		f.addServer(s)
+	}
+	for i := range nodes {
+		f.start(fmt.Sprintf("i%d", i))
+	}
+	return f
+}
+
+func (f *testFleet) addServer(name string) {
+	f.servers[name] = &testServer{incarnation: uint64(len(f.servers) + 1)}
+	domain := string(rune('a' + len(f.listed)%2))
+	f.listed = append(f.listed, platform.Listed{Name: name, Service: "proofs", Address: name, Region: "east", FailureDomain: domain})
+}
+
+func (f *testFleet) start(name string) *testNode {
+	self := record.Writer{Instance: name, Incarnation: uint64(f.now.UnixNano())}
+	n := &testNode{
+		core:     NewCore(self, record.InstanceJoined{Region: "east", FailureDomain: "a"}),
+		inFlight: map[string]bool{},
+	}
+	f.nodes = append(f.nodes, n)
+	return n
+}
+
+func (f *testFleet) append(r record.Record) {
+	data, err := record.Encode(r)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.log = append(f.log, data)
+}
+
+// run lets d pass; each check runs after each tick.
+func (f *testFleet) run(d time.Duration, checks ...func()) {
+	f.t.Helper()
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(testTick)
+		for _, n := range slices.Clone(f.nodes) {
+			if !n.paused {
+				f.tick(n)
+			}
+		}
+		f.checkSoleOwner()
+		for _, check := range checks {
+			check()
+		}
+	}
+}
+
+func (f *testFleet) tick(n *testNode) {
+	switch {
+	case f.logDown:
+	case n.next < f.oldest:
+		f.step(n, LogTruncated{Oldest: uint64(f.oldest)})
+	default:
+		first := n.next
+		n.next = len(f.log)
+		f.step(n, RecordsRead{First: uint64(first), Entries: f.log[first:], CaughtUp: true, Oldest: uint64(f.oldest)})
+	}
+	f.step(n, ServersListed{Rows: f.listed})
+}
+
+func (f *testFleet) step(n *testNode, e Event) {
+	for _, effect := range n.core.Step(e, f.now) {
+		f.carryOut(n, effect)
+	}
+}
+
+func (f *testFleet) carryOut(n *testNode, e Effect) {
+	switch e := e.(type) {
+	case ReadLog:
+		n.next = int(e.From)
+	case Append:
+		if !f.logDown {
+			f.appends++
+			f.append(e.Record)
+		}
+	case SendGrant:
+		if s := f.servers[e.Address]; s != nil && !s.down {
+			answer := s.answer(e.Grant, f.now)
+			f.step(n, GrantAnswered{Service: e.Grant.Service, Server: e.Grant.Server, Epoch: e.Grant.Epoch, Sent: f.now, Grant: e.Grant, Answer: answer})
+		}
+	case HoldSlots:
+		n.holds = append(n.holds, e)
+		if !n.inFlight[e.Server] {
+			f.step(n, SlotsDrained{Service: e.Service, Server: e.Server, Hold: e.Hold, Ranges: e.Ranges})
+		}
+	case SendMessage:
+		for _, to := range f.nodes {
+			if to.core.self == e.To && !to.paused {
+				f.step(to, MessageReceived{From: n.core.self, Message: e.Message})
+			}
+		}
+	case SetTable:
+		n.table++
+	case Authorize, Log:
+	}
+}
+
+func (s *testServer) answer(g backend.Grant, now time.Time) backend.GrantAnswer {
+	a := backend.GrantAnswer{Incarnation: s.incarnation, ClockMicros: now.UnixMicro(), Leaving: s.leaving}
+	if g.Incarnation == s.incarnation && (g.Epoch > s.epoch || g.Epoch == s.epoch && g.Sequence > s.sequence) {
+		s.epoch, s.sequence, s.grant = g.Epoch, g.Sequence, g
+		a.Accepted = true
+	}
+	a.Epoch = s.epoch
+	return a
+}
+
+// checkSoleOwner fails when two backend servers hold valid grants of a key.
+func (f *testFleet) checkSoleOwner() {
+	f.t.Helper()
+	for i := range 256 {
+		h := testHash(i)
+		var owners []string
+		for name, s := range f.servers {
+			if f.now.UnixMicro() < s.grant.UntilMicros && s.grant.Covers(h, h.Slot(64)) {
+				owners = append(owners, name)
+			}
+		}
+		if len(owners) > 1 {
+			slices.Sort(owners)
+			f.t.Fatalf("key %d is granted to %v at %v", i, owners, f.now.Sub(time.Unix(1000, 0)))
+		}
+	}
+}
+
+// testHash returns the hash of test key i, which is in slot i modulo 64.
+func testHash(i int) keyspace.Hash { return keyspace.Hash(i%64 + i/64<<40) }
+
+func (f *testFleet) state() *state.State { return f.nodes[0].core.State() }
+
+func (f *testFleet) service() *state.Service { return f.state().Services["proofs"] }
+
+// owned counts the slots of each backend server.
+func (f *testFleet) owned() map[string]int {
+	out := map[string]int{}
+	for _, row := range f.service().Slots {
+		out[row.Owner]++
+	}
+	return out
+}
+
+// coordinator returns the node that coordinates the service.
+func (f *testFleet) coordinator() *testNode {
+	for _, n := range f.nodes {
+		if n.core.self == f.service().Coordinator {
+			return n
+		}
+	}
+	f.t.Fatal("no coordinator")
+	return nil
+}
+
+// dispatcher returns the node that dispatches to a backend server.
+func (f *testFleet) dispatcher(server string) *testNode {
+	for _, n := range f.nodes {
+		if n.core.self == f.service().Servers[server].Row.Dispatcher {
+			return n
+		}
+	}
+	f.t.Fatal("no dispatcher")
+	return nil
+}
--- a/core/control/log.go
+++ b/core/control/log.go
@@ -17,12 +17,20 @@
 	maxAppendRetry = 32 * time.Second
 	maxDoublings   = 8
 
+	// FleetAppends is how many records a second all instances together append
+	// at most over a longer time.
+	FleetAppends = 200
+
+	// outage is the time without an answer after which the log counts as down.
+	outage = 2 * time.Second
+
 	// jitterSteps is the number of different retry times within a wait.
 	jitterSteps = 1 << 10
 )
 
 // read folds entries and publishes the new snapshot.
-func (c *Core) read(e RecordsRead) []Effect {
+func (c *Core) read(e RecordsRead, now time.Time) []Effect {
+	c.noteAnswer(now)
 	before := c.state.Next
 	end := e.First + uint64(len(e.Entries))
 	if !e.CaughtUp {
@@ -97,23 +105,38 @@
 // still on its way; that one is sent again under its own ID after a time.
 func (c *Core) propose(subject string, body record.Body, now time.Time) []Effect {
 	if p, ok := c.pending[subject]; ok {
-		if now.Sub(p.sent) < retryWait(p.record.ID, p.tries) {
+		if now.Before(p.due) {
 			return nil
 		}
-		c.pending[subject] = pending{record: p.record, tries: p.tries + 1, sent: now}
+		c.pending[subject] = pending{record: p.record, tries: p.tries + 1, due: now.Add(retryWait(p.record.ID, p.tries+1))}
 		return []Effect{Append{Record: p.record}}
 	}
 	c.sequence++
 	r := record.Record{ID: fmt.Sprintf("%s/%d", c.self, c.sequence), Writer: c.self, Since: c.state.Next, Body: body}
-	c.pending[subject] = pending{record: r, sent: now}
+	c.pending[subject] = pending{record: r, due: now.Add(retryWait(r.ID, 0))}
 	return []Effect{Append{Record: r}}
 }
 
+// noteAnswer lets the records that wait go soon after an outage of the log,
+// spread over the time that the log needs for those of the whole fleet.
+func (c *Core) noteAnswer(now time.Time) {
+	if now.Sub(c.readAt) > outage && !c.readAt.IsZero() {
+		whole := time.Duration(len(c.state.Members)*len(c.pending)) * time.Second / FleetAppends
+		for subject, p := range c.pending {
+			p.due = now.Add(jitter(p.record.ID, whole))
+			c.pending[subject] = p
+		}
+	}
+	c.readAt = now
+}
+
 // retryWait returns the wait before the next append of the record called id.
-// It differs between records, so that they don't come all at once after an
-// outage of the log.
 func retryWait(id string, tries int) time.Duration {
 	wait := min(appendRetry<<min(tries, maxDoublings), maxAppendRetry)
-	step := time.Duration(keyspace.NewHash(id).Slot(jitterSteps))
-	return wait + wait*step/jitterSteps
+	return wait + jitter(id, wait)
+}
+
+// jitter returns a time below d that differs between records.
+func jitter(id string, d time.Duration) time.Duration {
+	return d * time.Duration(keyspace.NewHash(id).Slot(jitterSteps)) / jitterSteps
 }
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -198,12 +198,15 @@
 }
 
 // Encode returns the bytes of r as they stand in the log.
-func Encode(r Record) ([]byte, error) {
+func Encode(r Record) ([]byte, error) { return EncodeKind(r, r.Body.kind()) }
+
+// EncodeKind encodes r under another kind, as a newer program may write it.
+func EncodeKind(r Record, kind uint) ([]byte, error) {
 	body, err := cbor.Marshal(r.Body)
 	if err != nil {
 		return nil, fmt.Errorf("record %s: %w", r.ID, err)
 	}
-	data, err := cbor.Marshal(envelope{ID: r.ID, Writer: r.Writer, Kind: r.Body.kind(), Body: body, Since: r.Since})
+	data, err := cbor.Marshal(envelope{ID: r.ID, Writer: r.Writer, Kind: kind, Body: body, Since: r.Since})
 	if err != nil {
 		return nil, fmt.Errorf("record %s: %w", r.ID, err)
 	}
--- a/core/state/checkpoint.go
+++ b/core/state/checkpoint.go
@@ -9,15 +9,24 @@
 // errNoCheckpoint means that the log holds no whole checkpoint.
 var errNoCheckpoint = errors.New("the log holds no whole checkpoint")
 
-// Loader finds the last whole checkpoint in a run of the log.
-type Loader struct {
-	oldest uint64 // offset of the run's first record
-	begun  bool
-	seen   Seen
-	next   Checkpoint // progress of the checkpoint being read
-	data   []byte     // its parts so far
-	whole  []byte     // the last whole one
-}
+type (
+	// Loader finds the last whole checkpoint in a run of the log.
+	Loader struct {
+		oldest  uint64 // offset of the run's first record
+		begun   bool
+		seen    Seen
+		writing map[record.Writer]*partial
+		offset  uint64 // of the last whole checkpoint
+		whole   []byte // nil before the first
+	}
+
+	// partial is a checkpoint whose parts are being read.
+	partial struct {
+		offset  uint64
+		written int // parts so far; 0 when it is whole
+		data    []byte
+	}
+)
 
 // checkpoint takes note of a part. Parts of one checkpoint come in order from
 // one writer; a first part starts anew.
@@ -51,7 +60,7 @@
 // Add takes in the bytes of the record at offset; records come in order.
 func (l *Loader) Add(offset uint64, data []byte) {
 	if !l.begun {
-		l.begun, l.oldest = true, offset
+		l.begun, l.oldest, l.writing = true, offset, map[record.Writer]*partial{}
 	}
 	l.seen.forget(offset)
 	r, err := record.Decode(data)
@@ -63,17 +72,33 @@
 	if !ok || b.Offset < l.oldest {
 		return
 	}
-	whole := l.next.Whole
-	if !l.next.take(offset, r.Writer, b) {
-		return
+	p := l.writing[r.Writer]
+	if p == nil {
+		p = &partial{}
+		l.writing[r.Writer] = p
+	}
+	if p.add(b) && b.Offset >= l.offset {
+		l.offset, l.whole = b.Offset, p.data
+		p.data = nil
+	}
+}
+
+// add takes a part in, and returns true when it makes the checkpoint whole.
+func (p *partial) add(b record.CheckpointPart) bool {
+	follows := b.Offset == p.offset && b.Part == p.written && p.written > 0
+	if b.Part != 0 && !follows || b.Part < 0 || b.Part >= b.Parts {
+		return false
 	}
 	if b.Part == 0 {
-		l.data = nil
+		p.offset, p.data = b.Offset, nil
 	}
-	l.data = append(l.data, b.Data...)
-	if b.Part == b.Parts-1 && b.Offset >= whole {
-		l.whole, l.data = l.data, nil
+	p.data = append(p.data, b.Data...)
+	p.written = b.Part + 1
+	if p.written < b.Parts {
+		return false
 	}
+	p.written = 0
+	return true
 }
 
 // State returns the state of the last whole checkpoint from which the records
--- a/core/state/fold.go
+++ b/core/state/fold.go
@@ -87,7 +87,7 @@
 			return s.refuse(Invalid, "service %s has %d slots, which can't change to %d", n.Name, len(v.Slots), n.Slots)
 		}
 	}
-	s.Configuration, s.Author = c, b.Author
+	s.Document, s.Configuration, s.Author = b.Document, c, b.Author
 	for i := range c.Services {
 		s.configureService(offset, &c.Services[i])
 	}
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -10,12 +10,6 @@
 )
 
 type (
-	// snapshot is the encoded form of a State.
-	snapshot struct {
-		State    *State
-		Document []byte // the configuration as YAML; empty before the first
-	}
-
 	// slotRun is a run of equal rows.
 	slotRun struct {
 		_     struct{} `cbor:",toarray"`
@@ -39,24 +33,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
-	out := snapshot{State: s}
-	if s.Configuration != nil {
-		if out.Document, err = s.Configuration.Encode(); err != nil {
-			return nil, fmt.Errorf("snapshot: %w", err)
-		}
-	}
-	return mode.Marshal(out)
+	return mode.Marshal(s)
 }
 
 // Decode returns the state that Encode wrote.
 func Decode(data []byte) (*State, error) {
-	in := snapshot{State: New()}
-	if err := cbor.Unmarshal(data, &in); err != nil {
+	s := New()
+	if err := cbor.Unmarshal(data, s); err != nil {
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
-	s := in.State
-	if len(in.Document) > 0 {
-		c, err := config.Parse(in.Document)
+	if len(s.Document) > 0 {
+		c, err := config.Parse(s.Document)
 		if err != nil {
 			return nil, fmt.Errorf("snapshot: %w", err)
 		}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -64,7 +64,8 @@
 	// State is the whole fold. It is not safe for concurrent use.
 	State struct {
 		Next          uint64                // offset of the next record to fold
-		Configuration *config.Configuration // nil before the first
+		Document      []byte                // of Configuration; empty before the first
+		Configuration *config.Configuration `cbor:"-"` // nil before the first
 		Author        string                // of the configuration in force
 		Members       map[string]Member     // by instance name
 		Services      map[string]*Service
@@ -135,6 +136,12 @@
 	return v.Slots[h.Slot(len(v.Slots))]
 }
 
+// Hot reports whether the key with hash h has a row of its own.
+func (v *Service) Hot(h keyspace.Hash) bool {
+	_, ok := v.Keys[h]
+	return ok
+}
+
 // KeysInOrder returns the hashes of all hot keys in order.
 func (v *Service) KeysInOrder() []keyspace.Hash {
 	return slices.Sorted(maps.Keys(v.Keys))
--- a/operator/fleet/explain.go
+++ b/operator/fleet/explain.go
@@ -38,8 +38,8 @@
 }
 
 func explain(v *state.Service, key string) Explanation {
-	slot := keyspace.NewHash(key).Slot(len(v.Slots))
-	row := v.Slots[slot]
+	hash := keyspace.NewHash(key)
+	slot, row := hash.Slot(len(v.Slots)), v.Row(hash)
 	server := v.Servers[row.Owner]
 	e := Explanation{
 		Service: v.Name, Key: key, Slot: uint32(slot),
@@ -52,6 +52,8 @@
 		e.Why = "no backend server owns the slot at present; the coordinator assigns it once one is up"
 	case row.Next != "":
 		e.Why = fmt.Sprintf("the slot moves from %s to %s; new work is held until the running work has ended", row.Owner, row.Next)
+	case v.Hot(hash):
+		e.Why = fmt.Sprintf("the key is hot and has a row of its own, which %s has owned since version %d of the service's state", row.Owner, row.Epoch)
 	default:
 		e.Why = fmt.Sprintf("the key's hash falls into slot %d of %d, which %s has owned since version %d of the service's state", slot, len(v.Slots), row.Owner, row.Epoch)
 	}
--- a/operator/fleet/read.go
+++ b/operator/fleet/read.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	"bronzewind.example/core/platform"
@@ -11,19 +12,35 @@
 	"bronzewind.example/core/state"
 )
 
-// Read folds the log up to its present end.
+// errNoCheckpoint means that the log's oldest records have lapsed.
+var errNoCheckpoint = errors.New("the log's oldest records have lapsed and it holds no whole checkpoint yet; try again, the fleet writes one within seconds")
+
+// Read folds the log up to its present end. When the log's oldest records have
+// lapsed, it starts from the last whole checkpoint.
 func Read(ctx context.Context, log platform.Log) (*state.State, error) {
-	s := state.New()
+	f := state.NewFollower()
 	for {
-		b, err := log.Read(ctx, s.Next, 0)
-		if err != nil {
+		next := f.Next()
+		b, err := log.Read(ctx, next, 0)
+		var truncated *platform.TruncatedError
+		switch {
+		case errors.As(err, &truncated) && truncated.Oldest > next:
+			f.Truncated(truncated.Oldest)
+			continue
+		case err != nil:
 			return nil, fmt.Errorf("the log can't be read: %w", err)
 		}
-		if len(b.Entries) == 0 {
-			return s, nil
+		end := b.First + uint64(len(b.Entries))
+		if len(b.Entries) > 0 {
+			end++ // there may be more to read
 		}
-		for i, data := range b.Entries {
-			Fold(s, b.First+uint64(i), data)
+		f.Read(b.First, end, b.Entries)
+		switch {
+		case len(b.Entries) > 0 || f.Next() != next:
+		case !f.Whole():
+			return nil, errNoCheckpoint
+		default:
+			return f.State, nil
 		}
 	}
 }
--- a/operator/publish/publish.go
+++ b/operator/publish/publish.go
@@ -59,7 +59,7 @@
 	}
 	w := record.Writer{Instance: "operator/" + author, Incarnation: uint64(time.Now().UnixNano())}
 	r := record.Record{
-		ID: fmt.Sprintf("%s/publish", w), Writer: w,
+		ID: fmt.Sprintf("%s/publish", w), Writer: w, Since: s.Next,
 		Body: record.ConfigurationPublished{Base: c.Version - 1, Document: document, Author: author},
 	}
 	data, err := record.Encode(r)
@@ -80,8 +80,11 @@
 		}
 		for i, data := range b.Entries {
 			id, verdict := fleet.Fold(s, b.First+uint64(i), data)
-			if id == r.ID && verdict == state.Accepted {
+			switch {
+			case id == r.ID && verdict == state.Accepted:
 				return s.Version(), nil
+			case id == r.ID && verdict == state.Invalid:
+				return 0, fmt.Errorf("not published: %s", s.Reason())
 			}
 		}
 		if s.Version() != base {
--- a/router/daemon/platform.go
+++ b/router/daemon/platform.go
@@ -23,8 +23,7 @@
 	retryPause    = 100 * time.Millisecond
 	loadInterval  = 2 * time.Second
 
-	fleetAppends = 200 // a second, of all instances together
-	appendBurst  = 16  // of one instance
+	appendBurst = 16 // of one instance
 )
 
 // followLog reads the log from its oldest record on, or from where control
@@ -97,7 +96,7 @@
 	if st := d.status.Load(); st != nil {
 		members = max(members, len(st.Members))
 	}
-	return time.Duration(members) * time.Second / fleetAppends
+	return time.Duration(members) * time.Second / control.FleetAppends
 }
 
 // bucket lets a burst through and then one at each interval. It is not safe
