--- a/lab/backend/backend.go
+++ b/lab/backend/backend.go
@@ -23,6 +23,11 @@
 	SeenPath = "/seen"
 	// CrashHeader marks a request that crashes the server.
 	CrashHeader = "X-Crash"
+	// IDHeader names a request; the answer carries the same.
+	IDHeader = "X-Request-Id"
+
+	defaultSlots = 6
+	coldFactor   = 5
 )
 
 type (
@@ -30,17 +35,23 @@
 	Faults struct {
 		Frozen     bool `json:"frozen"`      // no answer until thawed
 		Shed       bool `json:"shed"`        // refuses all work
-		Leaving    bool `json:"leaving"`     // drains
+		Leaving    bool `json:"leaving"`     // says that it drains
 		ServiceMs  int  `json:"service-ms"`  // time that each request takes
+		ColdMs     int  `json:"cold-ms"`     // for so long after the start, work takes coldFactor times as long
 		ReportIdle bool `json:"report-idle"` // the load report lies
+		RefuseLate bool `json:"refuse-late"` // refuses work whose deadline has passed
 	}
 
 	// Start is one request that began to run.
 	Start struct {
-		Key   string `json:"idempotency-key"`
-		Slot  uint32 `json:"slot"`
-		Epoch uint64 `json:"epoch"`
-		Body  int64  `json:"body-bytes"`
+		Server string `json:"server"`
+		Run    uint64 `json:"run"` // incarnation of the server
+		Key    string `json:"idempotency-key"`
+		ID     string `json:"request-id"`
+		Slot   uint32 `json:"slot"`
+		Epoch  uint64 `json:"epoch"`
+		At     int64  `json:"at-us"`  // wall clock
+		Ended  int64  `json:"end-us"` // wall clock; 0 while it runs
 	}
 
 	// Server is one backend server; it is safe for concurrent use.
@@ -50,6 +61,8 @@
 		incarnation  uint64
 		started      time.Time
 		onCrash      func()
+		journal      func(Start)
+		slots        chan struct{} // holds a token for each running request
 
 		mu       sync.Mutex // guards all below
 		faults   Faults
@@ -59,6 +72,7 @@
 		until    int64 // microseconds on the own clock
 		granted  []record.SlotRange
 		running  int
+		queued   int
 		seen     []Start
 	}
 
@@ -69,21 +83,26 @@
 // WithoutGrantChecks makes a server that runs whatever it is sent.
 func WithoutGrantChecks() Option { return func(s *Server) { s.checksGrants = false } }
 
-// WithServiceTime sets how long each request takes.
-func WithServiceTime(d time.Duration) Option {
-	return func(s *Server) { s.faults.ServiceMs = int(d.Milliseconds()) }
-}
+// WithFaults sets the faults at the start.
+func WithFaults(f Faults) Option { return func(s *Server) { s.faults = f } }
+
+// WithSlots sets how many requests run at once.
+func WithSlots(n int) Option { return func(s *Server) { s.slots = make(chan struct{}, n) } }
 
 // WithCrash sets what a marked request calls.
 func WithCrash(f func()) Option { return func(s *Server) { s.onCrash = f } }
 
+// WithJournal sets what is told of each start, and again of its end.
+func WithJournal(f func(Start)) Option { return func(s *Server) { s.journal = f } }
+
 // NewServer returns a backend server without grants.
 func NewServer(name string, options ...Option) *Server {
 	thawed := make(chan struct{})
 	close(thawed)
 	s := &Server{
 		name: name, checksGrants: true, started: time.Now(),
-		incarnation: uint64(time.Now().UnixNano()), thawed: thawed, onCrash: func() {},
+		incarnation: uint64(time.Now().UnixNano()), thawed: thawed,
+		onCrash: func() {}, journal: func(Start) {}, slots: make(chan struct{}, defaultSlots),
 	}
 	for _, o := range options {
 		o(s)
@@ -170,14 +189,25 @@
 	s.waitThawed(r)
 	w.Header().Set(core.SequenceHeader, r.Header.Get(core.SequenceHeader))
 	w.Header().Set(core.IncarnationHeader, strconv.FormatUint(s.incarnation, 10))
+	w.Header().Set(IDHeader, r.Header.Get(IDHeader))
+	arrived := time.Now()
+	if !s.takeSlot(r) {
+		return
+	}
+	defer func() { <-s.slots }()
 	slot, _ := strconv.ParseUint(r.Header.Get(core.SlotHeader), 10, 32)
 	epoch, _ := strconv.ParseUint(r.Header.Get(core.EpochHeader), 10, 64)
-	if reason := s.start(keyspace.Slot(slot), epoch); reason != "" {
+	if reason := s.start(keyspace.Slot(slot), epoch, late(r, arrived)); reason != "" {
 		w.Header().Set(core.RefusedHeader, reason)
 		http.Error(w, reason, http.StatusServiceUnavailable)
 		return
 	}
 	defer s.end()
+	b := Start{
+		Server: s.name, Run: s.incarnation, Key: r.Header.Get(core.IdempotencyHeader), ID: r.Header.Get(IDHeader),
+		Slot: uint32(slot), Epoch: epoch, At: time.Now().UnixMicro(),
+	}
+	s.record(b)
 	if r.Header.Get(CrashHeader) != "" {
 		s.onCrash()
 		panic(http.ErrAbortHandler)
@@ -186,18 +216,41 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	s.record(Start{Key: r.Header.Get(core.IdempotencyHeader), Slot: uint32(slot), Epoch: epoch, Body: n})
 	s.work(r)
+	b.Ended = time.Now().UnixMicro()
+	s.journal(b)
 	fmt.Fprintf(w, "%s %s by %s, %d bytes read\n", r.Method, r.URL.Path, s.name, n)
 }
 
+// takeSlot waits for one of the slots; it returns false when the request ended
+// first.
+func (s *Server) takeSlot(r *http.Request) bool {
+	s.count(&s.queued, 1)
+	defer s.count(&s.queued, -1)
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// late reports whether the deadline of r, in milliseconds from its arrival, has
+// passed.
+func late(r *http.Request, arrived time.Time) bool {
+	left, err := strconv.ParseInt(r.Header.Get(core.DeadlineHeader), 10, 64)
+	return err == nil && time.Since(arrived) >= time.Duration(left)*time.Millisecond
+}
+
 // start takes a request in or says why it is refused.
-func (s *Server) start(slot keyspace.Slot, epoch uint64) string {
+func (s *Server) start(slot keyspace.Slot, epoch uint64, late bool) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case s.faults.Shed:
 		return "shedding load"
+	case s.faults.RefuseLate && late:
+		return "deadline has passed"
 	case s.checksGrants && epoch < s.epoch:
 		return "epoch is old"
 	case s.checksGrants && s.clock() >= s.until:
@@ -209,13 +262,17 @@
 	return ""
 }
 
-func (s *Server) end() {
+func (s *Server) end() { s.count(&s.running, -1) }
+
+// count adds n to a counter of s.
+func (s *Server) count(counter *int, n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.running--
+	*counter += n
 }
 
 func (s *Server) record(b Start) {
+	s.journal(b)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.seen = append(s.seen, b)
@@ -225,6 +282,9 @@
 func (s *Server) work(r *http.Request) {
 	s.mu.Lock()
 	d := time.Duration(s.faults.ServiceMs) * time.Millisecond
+	if time.Since(s.started) < time.Duration(s.faults.ColdMs)*time.Millisecond {
+		d *= coldFactor
+	}
 	s.mu.Unlock()
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -237,7 +297,7 @@
 func (s *Server) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := core.LoadReport{Running: s.running}
+	l := core.LoadReport{Running: s.running, Queued: s.queued, Busy: float64(s.running) / float64(cap(s.slots))}
 	if s.faults.ReportIdle {
 		l = core.LoadReport{}
 	}
--- a/lab/main.go
+++ b/lab/main.go
@@ -3,69 +3,163 @@
 package main
 
 import (
+	"bytes"
+	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
 	"os"
+	"os/signal"
+	"strings"
+	"syscall"
 	"time"
 
-	"github.com/integrii/flaggy"
-
+	"bronzewind.example/core/config"
+	"bronzewind.example/core/document"
+	coreplatform "bronzewind.example/core/platform"
 	"bronzewind.example/lab/backend"
+	"bronzewind.example/lab/load"
 	"bronzewind.example/lab/platform"
 )
 
-const headerTimeout = 5 * time.Second
+const (
+	headerTimeout = 5 * time.Second
+	crashedExit   = 3
+)
 
-// errUsage means that the command line names no known command.
-var errUsage = errors.New("name a command: platform or backend; --help shows them")
+var (
+	errUsage  = errors.New("name a command: platform, backend, load or compare; --help shows them")
+	errBroken = errors.New("invariants are broken")
+)
 
 func main() {
-	if err := run(); err != nil {
+	o, err := parseOptions(os.Args[1:])
+	if err == nil {
+		err = run(o)
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "bronzelab:", err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
-	listen, name, serviceMs, noChecks := "127.0.0.1:8000", "backend-1", 5, false
-	p := flaggy.NewParser("bronzelab")
-	p.Description = "stand-ins and load for bronzewind"
+func run(o *options) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	switch o.command {
+	case "platform":
+		return serve(ctx, o.listen, platform.New().Handler())
+	case "backend":
+		return serve(ctx, o.listen, newBackend(o).Handler())
+	case "load":
+		return runLoad(ctx, o)
+	case "compare":
+		return runCompare(o)
+	default:
+		return errUsage
+	}
+}
 
-	plat := flaggy.NewSubcommand("platform")
-	plat.Description = "run the log service and the list of backend servers"
-	plat.String(&listen, "l", "listen", "HTTP address")
+func serve(ctx context.Context, listen string, h http.Handler) error {
+	server := &http.Server{Addr: listen, Handler: h, ReadHeaderTimeout: headerTimeout}
+	defer context.AfterFunc(ctx, func() { _ = server.Close() })()
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
 
-	back := flaggy.NewSubcommand("backend")
-	back.Description = "run one backend server"
-	back.String(&listen, "l", "listen", "HTTP address")
-	back.String(&name, "n", "name", "name of the backend server")
-	back.Int(&serviceMs, "", "service-ms", "milliseconds that each request takes")
-	back.Bool(&noChecks, "", "no-grant-checks", "run whatever is sent")
+func newBackend(o *options) *backend.Server {
+	options := []backend.Option{
+		backend.WithSlots(o.slots),
+		backend.WithFaults(backend.Faults{ServiceMs: o.service, ColdMs: o.cold, RefuseLate: o.late}),
+		backend.WithCrash(func() { os.Exit(crashedExit) }),
+	}
+	if o.noChecks {
+		options = append(options, backend.WithoutGrantChecks())
+	}
+	if o.journal != "" {
+		options = append(options, backend.WithJournal(func(s backend.Start) { writeJournal(o.journal, s) }))
+	}
+	return backend.NewServer(o.name, options...)
+}
 
-	p.AttachSubcommand(plat, 1)
-	p.AttachSubcommand(back, 1)
-	if err := p.Parse(); err != nil {
+// writeJournal ends the process when the journal can't be written, since the
+// checks would then miss a start.
+func writeJournal(base string, s backend.Start) {
+	line, err := json.Marshal(s)
+	if err == nil {
+		var resp *http.Response
+		resp, err = http.Post(base+platform.JournalPath, "application/json", bytes.NewReader(line))
+		if err == nil {
+			err = resp.Body.Close()
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "bronzelab: journal:", err)
+		os.Exit(1)
+	}
+}
+
+func runLoad(ctx context.Context, o *options) error {
+	data, err := os.ReadFile(o.config)
+	if err != nil {
 		return err
 	}
-	switch {
-	case plat.Used:
-		return serve(listen, platform.New().Handler())
-	case back.Used:
-		options := []backend.Option{
-			backend.WithServiceTime(time.Duration(serviceMs) * time.Millisecond),
-			backend.WithCrash(func() { os.Exit(3) }),
-		}
-		if noChecks {
-			options = append(options, backend.WithoutGrantChecks())
+	c, err := config.Parse(data)
+	if err != nil {
+		return document.InFile(o.config, err)
+	}
+	p, err := load.ReadProfile(o.profile, c)
+	if err != nil {
+		return err
+	}
+	outcomes := load.NewRunner(p, c, strings.Split(o.entries, ","), os.Stderr).Run(ctx)
+	s := load.Summarize(p, c, outcomes)
+	if err := verify(s, c, outcomes, o.platform); err != nil {
+		return err
+	}
+	if o.jsonFile != "" {
+		if err := s.Write(o.jsonFile); err != nil {
+			return err
 		}
-		return serve(listen, backend.NewServer(name, options...).Handler())
-	default:
-		return errUsage
 	}
+	if err := s.Print(os.Stdout); err != nil {
+		return err
+	}
+	if len(s.Faults) > 0 {
+		return errBroken
+	}
+	return nil
 }
 
-func serve(listen string, h http.Handler) error {
-	server := &http.Server{Addr: listen, Handler: h, ReadHeaderTimeout: headerTimeout}
-	return server.ListenAndServe()
+// verify compares the outcomes with the journal of the platform stand-in.
+func verify(s *load.Summary, c *config.Configuration, outcomes []load.Outcome, base string) error {
+	starts, err := load.FetchJournal(context.Background(), base)
+	if err != nil {
+		return err
+	}
+	rows, err := coreplatform.NewClient(base).List(context.Background())
+	if err != nil {
+		return err
+	}
+	serviceOf := map[string]string{}
+	for _, r := range rows {
+		serviceOf[r.Name] = r.Service
+	}
+	s.Verify(c, outcomes, starts, serviceOf)
+	return nil
+}
+
+func runCompare(o *options) error {
+	a, err := load.ReadSummary(o.files[0])
+	if err != nil {
+		return err
+	}
+	b, err := load.ReadSummary(o.files[1])
+	if err != nil {
+		return err
+	}
+	return load.Compare(a, b, os.Stdout)
 }
--- /dev/null
+++ b/lab/options.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"github.com/integrii/flaggy"
+)
+
+// options are the command line, parsed.
+type options struct {
+	command  string
+	listen   string
+	name     string
+	platform string
+	config   string
+	profile  string
+	entries  string
+	jsonFile string
+	journal  string
+	files    [2]string
+	slots    int
+	service  int
+	cold     int
+	noChecks bool
+	late     bool
+}
+
+const help = `examples:
+  bronzelab platform --listen 127.0.0.1:8000
+  bronzelab backend --listen 127.0.0.1:9001 --name proofs-1 --slots 6 --service-ms 10
+  bronzelab load --config examples/magnolia/configuration.yaml --profile examples/magnolia/load.yaml --entries 127.0.0.1:8101,127.0.0.1:8102
+  bronzelab compare before.json after.json
+faults are switched on from outside:
+  curl -X PUT -d '{"down":true}' http://127.0.0.1:8000/faults
+  curl -X PUT -d '{"frozen":true}' http://127.0.0.1:9001/faults`
+
+// parseOptions reads the command line.
+func parseOptions(args []string) (*options, error) {
+	o := &options{listen: "127.0.0.1:8000", name: "backend-1", platform: "http://127.0.0.1:8000", slots: 6, service: 5}
+	p := flaggy.NewParser("bronzelab")
+	p.Description = "stand-ins and load for bronzewind"
+	p.AdditionalHelpAppend = help
+	p.Version = "0.1.0"
+
+	plat := command(p, "platform", "run the log service and the list of backend servers")
+	plat.String(&o.listen, "l", "listen", "HTTP address")
+
+	back := command(p, "backend", "run one backend server")
+	back.String(&o.listen, "l", "listen", "HTTP address")
+	back.String(&o.name, "n", "name", "name of the backend server")
+	back.Int(&o.slots, "", "slots", "requests that run at once")
+	back.Int(&o.service, "", "service-ms", "milliseconds that each request takes")
+	back.Int(&o.cold, "", "cold-ms", "milliseconds after the start in which work takes longer")
+	back.Bool(&o.noChecks, "", "no-grant-checks", "run whatever is sent")
+	back.Bool(&o.late, "", "refuse-late", "refuse work whose deadline has passed")
+	back.String(&o.journal, "", "journal", "URL of the platform stand-in that keeps each start")
+
+	load := command(p, "load", "put load on running instances and check what became of it")
+	load.String(&o.config, "", "config", "configuration that the instances serve")
+	load.String(&o.profile, "", "profile", "what load to put on")
+	load.String(&o.entries, "", "entries", "addresses of the entries, with commas between")
+	load.String(&o.platform, "p", "platform", "URL of the platform stand-in, for the checks")
+	load.String(&o.jsonFile, "", "json", "file for the summary as JSON")
+
+	compare := command(p, "compare", "show two results side by side")
+	compare.AddPositionalValue(&o.files[0], "a", 1, true, "summary as JSON")
+	compare.AddPositionalValue(&o.files[1], "b", 2, true, "summary as JSON")
+
+	if err := p.ParseArgs(args); err != nil {
+		return nil, err
+	}
+	for _, s := range p.Subcommands {
+		if s.Used {
+			o.command = s.Name
+		}
+	}
+	return o, nil
+}
+
+func command(p *flaggy.Parser, name, description string) *flaggy.Subcommand {
+	s := flaggy.NewSubcommand(name)
+	s.Description = description
+	p.AttachSubcommand(s, 1)
+	return s
+}
--- a/lab/platform/platform.go
+++ b/lab/platform/platform.go
@@ -17,6 +17,8 @@
 const (
 	// FaultsPath takes Faults by PUT.
 	FaultsPath = "/faults"
+	// JournalPath takes lines by POST and answers all of them.
+	JournalPath = "/journal"
 
 	maxRecordBytes  = 4 << 20
 	maxBatchEntries = 1000
@@ -41,6 +43,7 @@
 		entries [][]byte
 		added   chan struct{} // closed at each append
 		lists   []listing     // in order of time; the last is the present
+		journal []byte        // lines that backend servers wrote, for checks
 	}
 
 	listing struct {
@@ -97,6 +100,8 @@
 	mux.HandleFunc("GET "+core.ListPath, p.serveList)
 	mux.HandleFunc("PUT "+core.ListPath, p.serveSetList)
 	mux.HandleFunc("PUT "+FaultsPath, p.serveFaults)
+	mux.HandleFunc("POST "+JournalPath, p.serveWriteJournal)
+	mux.HandleFunc("GET "+JournalPath, p.serveJournal)
 	return mux
 }
 
@@ -207,6 +212,25 @@
 	p.SetFaults(f)
 }
 
+// serveWriteJournal keeps a line; it outlives the server that wrote it.
+func (p *Platform) serveWriteJournal(w http.ResponseWriter, r *http.Request) {
+	line, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRecordBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.journal = append(append(p.journal, line...), '\n')
+}
+
+func (p *Platform) serveJournal(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	lines := p.journal
+	p.mu.Unlock()
+	_, _ = w.Write(lines)
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
