--- a/router/settings/settings.go
+++ b/router/settings/settings.go
@@ -8,7 +8,7 @@
 	"net/url"
 	"os"
 
-	"github.com/goccy/go-yaml"
+	"bronzewind.example/core/document"
 )
 
 // Settings are the settings of one instance. Addresses are IP numbers with a
@@ -36,47 +36,40 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	s, err := Parse(data, options...)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", file, err)
-	}
-	return s, nil
+	return s, document.InFile(file, err)
 }
 
 // Parse reads settings from YAML, applies the options, and checks the result.
 func Parse(data []byte, options ...Option) (*Settings, error) {
 	s := Settings{LogFormat: "text", Trace: "off"}
-	if err := yaml.UnmarshalWithOptions(data, &s, yaml.Strict()); err != nil {
+	if err := document.Decode(data, &s); err != nil {
 		return nil, err
 	}
 	for _, o := range options {
 		o(&s)
 	}
-	return &s, s.check()
+	if err := s.check(document.NewChecker(data)); err != nil {
+		return nil, err
+	}
+	return &s, nil
 }
 
-func (s *Settings) check() error {
-	var errs []error
+func (s *Settings) check(d *document.Checker) error {
 	for _, f := range []struct{ name, value string }{
 		{"instance", s.Instance}, {"region", s.Region}, {"failure-domain", s.FailureDomain},
 	} {
-		if f.value == "" {
-			errs = append(errs, fmt.Errorf("%s: is missing; add a line %q", f.name, f.name+": NAME"))
-		}
+		d.Check(f.value == "", f.name, "is missing", fmt.Sprintf("add a line %q", f.name+": NAME"))
 	}
 	for _, f := range []struct{ name, value string }{
 		{"listen", s.Listen}, {"admin", s.Admin}, {"control", s.Control}, {"forward", s.Forward},
 	} {
-		if err := checkAddress(f.value); err != nil {
-			errs = append(errs, fmt.Errorf("%s: %q is no address (%w); write an IP number and a port such as 127.0.0.1:8101", f.name, f.value, err))
-		}
-	}
-	if u, err := url.Parse(s.Platform); err != nil || u.Host == "" {
-		errs = append(errs, fmt.Errorf("platform: %q is no URL; write for example http://127.0.0.1:8000", s.Platform))
-	}
-	if s.LogFormat != "text" && s.LogFormat != "json" {
-		errs = append(errs, fmt.Errorf("log-format: is %q; use text or json", s.LogFormat))
+		err := checkAddress(f.value)
+		d.Check(err != nil, f.name, fmt.Sprintf("%q is no address: %v", f.value, err), "write an IP number and a port such as 127.0.0.1:8101")
 	}
-	return errors.Join(errs...)
+	u, err := url.Parse(s.Platform)
+	d.Check(err != nil || u.Host == "", "platform", fmt.Sprintf("%q is no URL", s.Platform), "write for example http://127.0.0.1:8000")
+	d.Check(s.LogFormat != "text" && s.LogFormat != "json", "log-format", fmt.Sprintf("is %q", s.LogFormat), "use text or json")
+	return d.Err()
 }
 
 func checkAddress(a string) error {
