Class every failure as done, not run or unknown, and bound retries

Cause: an answer whose end can't be told was passed on as whole; "not run" hung on a connection not being taken, and could have been overtaken by a write; a request that waited at a remote dispatcher was answered unknown at its deadline; retries had no budget and routes were polled at a fixed pace.

Change: connections to backend servers count their writes and are sealed once a request is called not run; answers need a length or chunks and their own sequence; up to 64 KB is held back until whole, which also frees the slot from a slow caller; HTTP/1.0 callers get a length; reads from and writes to callers end within body-idle-timeout.

--- a/core/code/code.go
+++ b/core/code/code.go
@@ -31,7 +31,8 @@
 
 // The codes; docs/CODES.md lists them with their causes and mends.
 const (
-	OK Code = 1000
+	OK          Code = 1000
+	AlreadyDone Code = 1001
 
 	NoService           Code = 2001
 	KeyMissing          Code = 2002
@@ -55,6 +56,9 @@
 	MalformedRequest    Code = 2020
 	StaleRoute          Code = 2021
 	MarkNotReplicated   Code = 2022
+	KeyReused           Code = 2023
+	SlowCaller          Code = 2024
+	MarksFull           Code = 2025
 
 	BackendReset     Code = 3001
 	BackendTimeout   Code = 3002
@@ -63,6 +67,8 @@
 	MarkLost         Code = 3005
 	CancelledRunning Code = 3006
 	StillRunning     Code = 3007
+	AnswerCrossed    Code = 3008
+	UploadCutOff     Code = 3009
 )
 
 // Entry is one row of the table of result codes.
@@ -76,6 +82,7 @@
 
 var table = []Entry{
 	{OK, Done, http.StatusOK, "ok", "The backend server answered; its own status is passed on."},
+	{AlreadyDone, Done, http.StatusConflict, "already-done", "An earlier try with this idempotency key was done, and its answer is no longer kept."},
 	{NoService, NotRun, http.StatusNotFound, "no-service", "No service is configured for the path."},
 	{KeyMissing, NotRun, http.StatusBadRequest, "key-missing", "The request carries no key where its service expects one."},
 	{BodyTooLarge, NotRun, http.StatusRequestEntityTooLarge, "body-too-large", "The body is larger than its kind allows; nothing was passed on."},
@@ -98,6 +105,9 @@
 	{MalformedRequest, NotRun, http.StatusBadRequest, "malformed-request", "The request could not be read."},
 	{StaleRoute, NotRun, http.StatusServiceUnavailable, "stale-route", "The instance asked is not the dispatcher of the key's owner."},
 	{MarkNotReplicated, NotRun, http.StatusServiceUnavailable, "mark-not-replicated", "No instance of another failure domain took the start mark of a once-only request."},
+	{KeyReused, NotRun, http.StatusUnprocessableEntity, "idempotency-key-reused", "The idempotency key was used before for a request with another method, path or body length."},
+	{SlowCaller, NotRun, http.StatusRequestTimeout, "slow-caller", "The caller sent its body too slowly; nothing was passed on."},
+	{MarksFull, NotRun, http.StatusServiceUnavailable, "marks-full", "The dispatcher keeps as many start marks as it may, so no once-only request can start."},
 	{BackendReset, Unknown, http.StatusBadGateway, "backend-reset", "The connection broke after the first byte was sent."},
 	{BackendTimeout, Unknown, http.StatusGatewayTimeout, "backend-timeout", "The deadline passed after the first byte was sent."},
 	{DispatcherLost, Unknown, http.StatusBadGateway, "dispatcher-lost", "The dispatcher was lost after it took the request."},
@@ -105,6 +115,8 @@
 	{MarkLost, Unknown, http.StatusConflict, "mark-lost", "An earlier try may have run, and the record of its outcome is lost."},
 	{CancelledRunning, Unknown, 499, "cancelled-running", "The caller went away after the first byte was sent."},
 	{StillRunning, Unknown, http.StatusConflict, "still-running", "An earlier try with this idempotency key is still running."},
+	{AnswerCrossed, Unknown, http.StatusBadGateway, "answer-crossed", "The backend server sent the answer of another request; it was thrown away."},
+	{UploadCutOff, Unknown, http.StatusBadRequest, "upload-cut-off", "The body ended early after a part of it was passed on."},
 }
 
 // Table returns the rows of all codes in ascending order.
--- a/router/caller/request.go
+++ b/router/caller/request.go
@@ -1,8 +1,6 @@
 package caller
 
 import (
-	"bytes"
-	"io"
 	"net/http"
 	"strings"
 
@@ -18,17 +16,16 @@
 	CallerHeader = "X-Caller-Kind"
 
 	reservedPrefix = "Bronzewind-"
-	replayBytes    = 32 << 10 // a body up to this size is kept to be sent again
 )
 
 // hopHeaders are meant for one connection and are not passed on.
 var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
 	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
 // read checks a caller's request and finds its service, key and kind.
-func (s *Server) read(r *http.Request) (*dispatch.Request, error) {
+func (s *Server) read(w http.ResponseWriter, r *http.Request) (*dispatch.Request, error) {
 	t := s.table.Load()
 	if t == nil {
 		return nil, code.NewError(code.NotReady, "the instance has no configuration yet")
@@ -63,53 +60,7 @@
 	if kind.OnceOnly && req.IdempotencyKey == "" {
 		return nil, code.NewError(code.IdempotencyMissing, "kind "+kind.Name+" is once-only")
 	}
-	return req, readBody(req, r)
-}
-
-// readBody takes up a small body whole, and leaves a large one to be streamed.
-func readBody(req *dispatch.Request, r *http.Request) error {
-	limit := req.Kind.BodyBytes
-	switch {
-	case r.ContentLength == 0:
-		return nil
-	case r.ContentLength > limit:
-		return code.NewError(code.BodyTooLarge, "the body is over the limit of its kind")
-	case r.ContentLength < 0 || r.ContentLength > replayBytes:
-		req.Length = r.ContentLength
-		req.Body = http.MaxBytesReader(nil, r.Body, limit)
-		return nil
-	}
-	body := make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, body); err != nil {
-		return code.NewError(code.MalformedRequest, "the body ended early: "+err.Error())
-	}
-	req.Length = r.ContentLength
-	req.Body = bytes.NewReader(body)
-	return nil
-}
-
-// replayable reports whether r may run twice and its body can be sent again.
-func replayable(r *dispatch.Request) bool {
-	_, streams := streamed(r)
-	return !r.Kind.OnceOnly && !streams
-}
-
-// rewind makes the body of r ready for another try; a streamed body that was
-// asked for can't be, one that was not needs nothing.
-func rewind(r *dispatch.Request) bool {
-	if b, ok := r.Body.(*bytes.Reader); ok {
-		_, err := b.Seek(0, io.SeekStart)
-		return err == nil
-	}
-	return true
-}
-
-func streamed(r *dispatch.Request) (io.Reader, bool) {
-	if r.Body == nil {
-		return nil, false
-	}
-	_, kept := r.Body.(*bytes.Reader)
-	return r.Body, !kept
+	return req, readBody(req, r, w, bodyIdle(t))
 }
 
 func findKey(s *config.Service, r *http.Request) (string, bool) {
@@ -138,8 +89,14 @@
 	return nil, false
 }
 
+// forwardHeader returns h without what is meant for the caller's connection.
 func forwardHeader(h http.Header) http.Header {
 	out := h.Clone()
+	for _, list := range h.Values("Connection") {
+		for name := range strings.SplitSeq(list, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
 	for _, name := range hopHeaders {
 		out.Del(name)
 	}
--- a/router/caller/server.go
+++ b/router/caller/server.go
@@ -3,6 +3,7 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -25,9 +26,14 @@
 	"bronzewind.example/router/dispatch"
 )
 
-// rerouteWait is the longest wait for a newer snapshot before a route that was
-// stale is tried again.
-const rerouteWait = 20 * time.Millisecond
+const (
+	// lengthenedBytes bounds an answer that is read whole to find its length.
+	lengthenedBytes = 1 << 20
+
+	// verdictWait is how long past the deadline the entry waits for the
+	// dispatcher's word, which knows whether the request had started.
+	verdictWait = 150 * time.Millisecond
+)
 
 type (
 	// Local runs requests on this instance's own dispatchers.
@@ -49,6 +55,7 @@
 		tracer   trace.Tracer
 		log      *slog.Logger
 		draining atomic.Bool
+		budget   budget
 
 		table   atomic.Pointer[route.Table]
 		mu      sync.Mutex
@@ -96,49 +103,19 @@
 	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := s.tracer.Start(ctx, "entry", trace.WithAttributes(attribute.String("path", r.URL.Path)))
 	defer span.End()
-	req, err := s.read(r)
+	req, err := s.read(w, r)
 	if err != nil {
 		s.refuse(w, err)
 		return
 	}
-	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline.Add(verdictWait))
 	defer cancel()
 	answer, err := s.route(ctx, req)
 	if err != nil {
-		s.refuse(w, err)
+		s.refuse(w, blame(req, err))
 		return
 	}
-	s.relay(w, answer)
-}
-
-// route runs r on its owner; a route that proves stale is looked up again
-// until the deadline.
-func (s *Server) route(ctx context.Context, r *dispatch.Request) (*dispatch.Answer, error) {
-	tries := 0
-	for {
-		changed := s.change()
-		answer, err := s.try(ctx, r)
-		if err == nil {
-			return answer, nil
-		}
-		var e *code.Error
-		if !errors.As(err, &e) {
-			return nil, code.NewError(code.DispatcherLost, err.Error())
-		}
-		switch {
-		case e.Code == code.StaleRoute || e.Code == code.NoOwner || e.Code == code.DispatcherBusy:
-			if !s.wait(ctx, changed) {
-				return nil, e
-			}
-		case e.Code.Outcome() == code.Unknown && tries < r.Kind.Retries && ctx.Err() == nil && replayable(r):
-			tries++
-		default:
-			return nil, e
-		}
-		if !rewind(r) {
-			return nil, e
-		}
-	}
+	s.relay(w, r, answer)
 }
 
 // try sends r to the owner that the present snapshot names.
@@ -168,39 +145,58 @@
 	return s.changed
 }
 
-// wait waits for a newer snapshot; it returns false when the caller's time is up.
-func (s *Server) wait(ctx context.Context, changed <-chan struct{}) bool {
-	timer := s.clock.NewTimer(rerouteWait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-changed:
-	case <-timer.C:
-	}
-	return true
-}
-
-// relay passes the answer on; one that is cut off breaks the connection, so
+// relay passes the answer on. One that is cut off breaks the connection, so
 // that the caller can't take it for whole.
-func (s *Server) relay(w http.ResponseWriter, a *dispatch.Answer) {
+func (s *Server) relay(w http.ResponseWriter, r *http.Request, a *dispatch.Answer) {
 	defer a.Body.Close()
+	if a.Length < 0 && !r.ProtoAtLeast(1, 1) {
+		s.lengthen(a)
+	}
 	copyHeader(w.Header(), a.Header)
 	w.Header().Set(code.OutcomeHeader, code.Done.String())
 	if a.Length >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
+	out := &callerWriter{w: w, control: http.NewResponseController(w), idle: bodyIdle(s.table.Load())}
 	w.WriteHeader(a.Status)
-	if _, err := io.Copy(w, a.Body); err != nil {
-		s.log.Info("answer cut off", "code", int(code.AnswerCutOff), "error", err)
-		panic(http.ErrAbortHandler)
+	if _, err := io.Copy(out, a.Body); err != nil {
+		s.cutOff(err)
 	}
 }
 
+// lengthen finds the length of an answer for a caller whose protocol has no
+// chunks, and so no other way to tell a whole answer from one that is cut off.
+func (s *Server) lengthen(a *dispatch.Answer) {
+	data, err := io.ReadAll(io.LimitReader(a.Body, lengthenedBytes+1))
+	if err == nil && len(data) > lengthenedBytes {
+		err = errors.New("the answer has no length and is too large for HTTP/1.0")
+	}
+	if err != nil {
+		s.cutOff(err)
+	}
+	a.Body, a.Length = io.NopCloser(bytes.NewReader(data)), int64(len(data))
+}
+
+// cutOff breaks the caller's connection.
+func (s *Server) cutOff(err error) {
+	s.log.Info("answer cut off", "code", int(code.AnswerCutOff), "error", err)
+	panic(http.ErrAbortHandler)
+}
+
 func (s *Server) refuse(w http.ResponseWriter, err error) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(bodyIdle(s.table.Load())))
 	e := &code.Error{Code: code.DispatcherLost, Reason: err.Error()}
 	errors.As(err, &e)
 	w.Header().Set(code.Header, strconv.Itoa(int(e.Code)))
 	w.Header().Set(code.OutcomeHeader, e.Code.Outcome().String())
 	http.Error(w, e.Error(), e.Code.Status())
 }
+
+// bodyIdle returns the longest wait for one read from a caller or one write to
+// it.
+func bodyIdle(t *route.Table) time.Duration {
+	if t == nil || t.Configuration.Limits.BodyIdleTimeout <= 0 {
+		return defaultBodyIdle
+	}
+	return t.Configuration.Limits.BodyIdleTimeout.Std()
+}
--- /dev/null
+++ b/router/dispatch/answer.go
@@ -0,0 +1,94 @@
+package dispatch
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+
+	"bronzewind.example/core/code"
+)
+
+// keptAnswerBytes is the size up to which an answer is read at once, so that a
+// slow caller doesn't hold a slot of the backend server.
+const keptAnswerBytes = 64 << 10
+
+type (
+	// answerBody ends the job when it is closed.
+	answerBody struct {
+		io.Reader
+		closer io.Closer
+		end    func()
+	}
+
+	// wholeReader fails with io.ErrUnexpectedEOF when its source ends before
+	// length bytes.
+	wholeReader struct {
+		source io.Reader
+		left   int64
+	}
+)
+
+// NewWholeReader returns a reader of source that ends with io.EOF only after
+// exactly length bytes; a negative length is not checked.
+func NewWholeReader(source io.Reader, length int64) io.Reader {
+	if length < 0 {
+		return source
+	}
+	return &wholeReader{source: source, left: length}
+}
+
+// HasBody reports whether an answer to method with status carries a body.
+func HasBody(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// Read implements io.Reader.
+func (w *wholeReader) Read(p []byte) (int, error) {
+	n, err := w.source.Read(p)
+	w.left -= int64(n)
+	if (errors.Is(err, io.EOF) && w.left != 0) || w.left < 0 {
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *answerBody) Close() error {
+	err := b.closer.Close()
+	b.end()
+	return err
+}
+
+// framed reports whether the end of resp can be told from a connection that
+// broke: its length is known, or it comes in chunks.
+func framed(resp *http.Response) bool {
+	return resp.Body == http.NoBody || resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
+// newAnswer reads the first bytes of resp. One that is whole by then frees the
+// slot at once; end is called for any other when its body is closed, or here
+// when there is no answer.
+func newAnswer(resp *http.Response, end func()) (*Answer, error) {
+	a := &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
+	head, err := io.ReadAll(io.LimitReader(resp.Body, keptAnswerBytes))
+	if err != nil {
+		resp.Body.Close()
+		end()
+		return nil, code.NewError(code.AnswerCutOff, "the answer ended early: "+err.Error())
+	}
+	if len(head) < keptAnswerBytes {
+		resp.Body.Close()
+		end()
+		if resp.ContentLength < 0 {
+			a.Length = int64(len(head))
+		}
+		a.Body, a.Whole = io.NopCloser(bytes.NewReader(head)), head
+		return a, nil
+	}
+	a.Body = &answerBody{
+		Reader: io.MultiReader(bytes.NewReader(head), resp.Body),
+		closer: resp.Body, end: end,
+	}
+	return a, nil
+}
--- /dev/null
+++ b/router/dispatch/conn.go
@@ -0,0 +1,124 @@
+package dispatch
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+)
+
+const (
+	dialTimeout        = time.Second
+	idleConnTimeout    = time.Minute
+	maxAnswerHeadBytes = 64 << 10
+)
+
+type (
+	// trackedConn is a connection to a backend server that knows whether a
+	// write was begun.
+	trackedConn struct {
+		net.Conn
+
+		mu     sync.Mutex
+		writes uint64 // begun so far; guarded by mu
+		sealed bool   // no further write is begun; guarded by mu
+	}
+
+	// attempt follows one request to the connection that it is written to.
+	attempt struct {
+		mu    sync.Mutex // guards all below
+		taken int        // connections that the transport took for the request
+		conn  *trackedConn
+		mark  uint64 // writes begun on conn when it was taken
+	}
+)
+
+// newTransport returns a transport of at most connections tracked connections
+// to one backend server.
+func newTransport(connections int) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &trackedConn{Conn: c}, nil
+		},
+		MaxConnsPerHost:        connections,
+		MaxIdleConnsPerHost:    connections,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: maxAnswerHeadBytes,
+		DisableCompression:     true,
+	}
+}
+
+// Write implements net.Conn.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	if c.sealed {
+		c.mu.Unlock()
+		return 0, net.ErrClosed
+	}
+	c.writes++
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+func (c *trackedConn) begun() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writes
+}
+
+// seal reports whether no write was begun since mark; then none is begun later
+// either, even by a transport that is still busy with the request.
+func (c *trackedConn) seal(mark uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writes != mark {
+		return false
+	}
+	c.sealed = true
+	return true
+}
+
+// trace returns a context under which the transport reports to a.
+func (a *attempt) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.take})
+}
+
+func (a *attempt) take(info httptrace.GotConnInfo) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.taken++
+	if c, ok := info.Conn.(*trackedConn); ok {
+		a.conn, a.mark = c, c.begun()
+	}
+}
+
+// unwritten reports whether no byte of the request was passed to a connection,
+// and keeps it so. It is called once the transport has given an error.
+func (a *attempt) unwritten() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case a.taken == 0:
+		return true
+	case a.taken > 1 || a.conn == nil:
+		return false
+	default:
+		return a.conn.seal(a.mark)
+	}
+}
+
+// discard closes the connection of an answer that can't be relied on.
+func (a *attempt) discard() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conn != nil {
+		_ = a.conn.Close()
+	}
+}
--- a/router/dispatch/dispatcher.go
+++ b/router/dispatch/dispatcher.go
@@ -47,12 +47,7 @@
 func newDispatcher(s *Set, v *route.Service, server *route.Server) *Dispatcher {
 	t := s.transport
 	if t == nil {
-		t = &http.Transport{
-			MaxConnsPerHost:     v.Config.Connections,
-			MaxIdleConnsPerHost: v.Config.Connections,
-			IdleConnTimeout:     time.Minute,
-			DisableCompression:  true,
-		}
+		t = newTransport(v.Config.Connections)
 	}
 	return &Dispatcher{set: s, transport: t, service: v, server: server, inSlot: map[keyspace.Slot]int{}}
 }
@@ -109,6 +104,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.closed = true
+	if t, ok := d.transport.(*http.Transport); ok {
+		defer t.CloseIdleConnections()
+	}
 	for _, j := range d.waiting.all() {
 		d.waiting.remove(j)
 		j.start <- code.NewError(code.StaleRoute, "another instance dispatches to the backend server now")
--- a/router/dispatch/request.go
+++ b/router/dispatch/request.go
@@ -35,5 +35,6 @@
 		Header http.Header
 		Length int64 // of Body in bytes; -1 when unknown
 		Body   io.ReadCloser
+		Whole  []byte // all bytes of Body when they were read already, else nil
 	}
 )
--- a/router/dispatch/send.go
+++ b/router/dispatch/send.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -24,7 +23,7 @@
 func (d *Dispatcher) send(ctx context.Context, j *job) (*Answer, error) {
 	ctx, cancel := context.WithDeadline(ctx, j.request.Deadline)
 	ctx, span := d.set.tracer.Start(ctx, "dispatch", trace.WithAttributes(
-		attribute.String("server", d.server.Name), attribute.Int("slot", int(j.slot))))
+		attribute.String("server", j.request.Server), attribute.Int("slot", int(j.slot))))
 	var once sync.Once
 	end := func() {
 		once.Do(func() {
@@ -38,73 +37,95 @@
 		end()
 		return nil, err
 	}
-	return &Answer{
-		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		Body: &answerBody{ReadCloser: resp.Body, end: end},
-	}, nil
+	answer, err := newAnswer(resp, end)
+	return answer, timedOut(ctx, err)
 }
 
+// roundTrip returns an answer that belongs to j and whose end can be told.
 func (d *Dispatcher) roundTrip(ctx context.Context, j *job) (*http.Response, error) {
-	var wrote atomic.Bool
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) },
-	})
-	req, err := d.newRequest(traced, j)
+	var a attempt
+	body := &onceReader{r: j.request.Body}
+	req, err := d.newRequest(a.trace(ctx), j, body)
 	if err != nil {
 		return nil, code.NewError(code.MalformedRequest, err.Error())
 	}
 	resp, err := d.transport.RoundTrip(req)
 	if err != nil {
-		return nil, failure(ctx, err, wrote.Load())
+		return nil, failure(ctx, err, a.unwritten(), body.failed())
 	}
-	if resp.Header.Get(backend.RefusedHeader) != "" && d.service.Config.TrustsRefusals {
+	if e := d.check(req, resp); e != nil {
+		if e.Code != code.RefusedByBackend {
+			a.discard()
+		}
 		resp.Body.Close()
-		return nil, code.NewError(code.RefusedByBackend, resp.Header.Get(backend.RefusedHeader))
-	}
-	if got := resp.Header.Get(backend.SequenceHeader); got != "" && got != req.Header.Get(backend.SequenceHeader) {
-		resp.Body.Close()
-		return nil, code.NewError(code.AnswerCutOff, "the answer belongs to another request")
+		return nil, e
 	}
 	return resp, nil
 }
 
-func (d *Dispatcher) newRequest(ctx context.Context, j *job) (*http.Request, error) {
-	r := j.request
-	var body io.Reader
-	if r.Body != nil {
-		body = &onceReader{r: r.Body}
+// check returns an error for an answer of another request, for one whose end
+// can't be told, and for a refusal that is trusted.
+func (d *Dispatcher) check(req *http.Request, resp *http.Response) *code.Error {
+	sent := req.Header.Get(backend.SequenceHeader)
+	for _, got := range resp.Header.Values(backend.SequenceHeader) {
+		if got != sent {
+			return code.NewError(code.AnswerCrossed, "the answer belongs to request "+strconv.Quote(got))
+		}
 	}
-	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+d.server.Address+r.Target, body)
-	if err != nil {
-		return nil, fmt.Errorf("request to %s: %w", d.server.Name, err)
+	if reason := resp.Header.Get(backend.RefusedHeader); reason != "" && d.trustsRefusals() {
+		return code.NewError(code.RefusedByBackend, reason)
+	}
+	if !framed(resp) {
+		return code.NewError(code.AnswerCutOff, "the answer has neither a length nor chunks")
 	}
-	// net/http sends a request with an Idempotency-Key again by itself unless
-	// its body can't be read twice.
-	if body == nil {
-		req.Body = io.NopCloser(&onceReader{})
+	return nil
+}
+
+func (d *Dispatcher) trustsRefusals() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.service.Config.TrustsRefusals
+}
+
+// newRequest returns the request of j with a body that net/http can't send a
+// second time: it would do so by itself after a connection broke, for any GET
+// and for any request with an Idempotency-Key.
+func (d *Dispatcher) newRequest(ctx context.Context, j *job, body *onceReader) (*http.Request, error) {
+	r := j.request
+	d.mu.Lock()
+	server, epoch := d.server, d.epoch
+	d.mu.Unlock()
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+server.Address+r.Target, body)
+	if err != nil {
+		return nil, fmt.Errorf("request to %s: %w", server.Name, err)
 	}
 	req.ContentLength = r.Length
 	req.Header = r.Header.Clone()
 	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(req.Header))
 	left := r.Deadline.Sub(d.set.clock.Now()).Milliseconds()
 	req.Header.Set(backend.DeadlineHeader, strconv.FormatInt(left, 10))
-	req.Header.Set(backend.EpochHeader, strconv.FormatUint(d.epoch, 10))
+	req.Header.Set(backend.EpochHeader, strconv.FormatUint(epoch, 10))
 	req.Header.Set(backend.SlotHeader, strconv.FormatUint(uint64(j.slot), 10))
 	req.Header.Set(backend.HashHeader, strconv.FormatUint(uint64(r.Hash), 16))
-	req.Header.Set(backend.SequenceHeader, strconv.FormatUint(d.epoch, 10)+"."+strconv.FormatUint(j.arrived, 10))
+	req.Header.Set(backend.SequenceHeader, fmt.Sprintf("%s.%d.%d", server.Name, epoch, j.arrived))
 	return req, nil
 }
 
-// failure classes an error of the transport: only a request that never got a
-// connection provably did not run.
-func failure(ctx context.Context, err error, wrote bool) error {
+// failure classes an error of the transport. Only a request of which no byte
+// was written provably did not run.
+func failure(ctx context.Context, err error, unwritten, bodyFailed bool) error {
+	late := errors.Is(ctx.Err(), context.DeadlineExceeded)
 	switch {
-	case !wrote && errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case unwritten && late:
 		return code.NewError(code.DeadlineBeforeStart, "no connection in time")
-	case !wrote:
+	case unwritten && ctx.Err() != nil:
+		return code.NewError(code.CancelledInQueue, "the caller went away")
+	case unwritten:
 		return code.NewError(code.BackendUnreachable, err.Error())
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case late:
 		return code.NewError(code.BackendTimeout, "no answer in time")
+	case bodyFailed:
+		return code.NewError(code.UploadCutOff, err.Error())
 	case ctx.Err() != nil:
 		return code.NewError(code.CancelledRunning, "the caller went away")
 	default:
@@ -112,26 +133,31 @@
 	}
 }
 
+// timedOut names the deadline as the cause of an answer that was cut off by it.
+func timedOut(ctx context.Context, err error) error {
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return code.NewError(code.BackendTimeout, "the answer was not whole in time")
+	}
+	return err
+}
+
 // onceReader is a body that net/http can't read a second time.
-type onceReader struct{ r io.Reader }
+type onceReader struct {
+	r      io.Reader // nil when there is no body
+	broken atomic.Bool
+}
 
 // Read implements io.Reader.
 func (o *onceReader) Read(p []byte) (int, error) {
 	if o.r == nil {
 		return 0, io.EOF
 	}
-	return o.r.Read(p)
-}
-
-// answerBody ends the job when it is closed.
-type answerBody struct {
-	io.ReadCloser
-	end func()
+	n, err := o.r.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		o.broken.Store(true)
+	}
+	return n, err
 }
 
-// Close implements io.Closer.
-func (b *answerBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.end()
-	return err
-}
+// failed reports whether the source of the body broke.
+func (o *onceReader) failed() bool { return o.broken.Load() }
--- a/router/dispatch/set.go
+++ b/router/dispatch/set.go
@@ -129,6 +129,16 @@
 	return d.do(ctx, r)
 }
 
+// Close ends all dispatchers; queued requests are answered that they did not run.
+func (s *Set) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, d := range s.servers {
+		delete(s.servers, key)
+		d.close()
+	}
+}
+
 func (s *Set) dispatcher(service, server string) (*Dispatcher, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/router/peer/client.go
+++ b/router/peer/client.go
@@ -15,12 +15,14 @@
 )
 
 const (
-	dialTimeout  = 300 * time.Millisecond
-	idleTimeout  = 2 * time.Second
-	keepAlive    = 500 * time.Millisecond
-	maxStreams   = 1 << 14
-	inlineBytes  = 32 << 10
-	streamFailed = quic.StreamErrorCode(1)
+	dialTimeout = 300 * time.Millisecond
+	idleTimeout = 2 * time.Second
+	keepAlive   = 500 * time.Millisecond
+	maxStreams  = 1 << 14
+	inlineBytes = 32 << 10
+
+	uploadBufferBytes = 32 << 10
+	streamFailed      = quic.StreamErrorCode(1)
 )
 
 type (
@@ -70,11 +72,7 @@
 		c.forget(server, conn)
 		return nil, code.NewError(code.DispatcherBusy, err.Error())
 	}
-	a, err := exchange(ctx, stream, r)
-	if err != nil {
-		abort(stream)
-	}
-	return a, err
+	return exchange(ctx, stream, r)
 }
 
 func abort(s *quic.Stream) {
@@ -84,55 +82,39 @@
 
 // exchange sends r on a fresh stream and reads the head of the answer.
 func exchange(ctx context.Context, stream *quic.Stream, r *dispatch.Request) (*dispatch.Answer, error) {
-	stop := context.AfterFunc(ctx, func() { abort(stream) })
 	head, err := newRequestHead(r)
 	if err != nil {
-		stop()
+		abort(stream)
 		return nil, code.NewError(code.MalformedRequest, err.Error())
 	}
-	if err := writeFrame(stream, head); err != nil {
-		stop()
-		return nil, lost(ctx, err)
-	}
-	if !head.Streams {
-		stream.Close()
-	}
-	a, err := readAnswer(stream, r)
+	stop := context.AfterFunc(ctx, func() { abort(stream) })
+	u := newUpload(stream, r.Body)
+	a, err := send(stream, head, u)
 	if err != nil {
 		stop()
-		var e *code.Error
-		if errors.As(err, &e) {
-			return nil, e
-		}
-		return nil, lost(ctx, err)
+		abort(stream)
+		u.stop()
+		return nil, lost(ctx, u, err)
+	}
+	length := a.Length
+	if !dispatch.HasBody(r.Method, a.Status) {
+		length = 0
 	}
 	return &dispatch.Answer{
 		Status: a.Status, Header: a.Header, Length: a.Length,
-		Body: &streamBody{stream: stream, stop: stop},
+		Body: &streamBody{Reader: dispatch.NewWholeReader(stream, length), stream: stream, upload: u, stop: stop},
 	}, nil
 }
 
-func newRequestHead(r *dispatch.Request) (requestHead, error) {
-	head := requestHead{
-		Service: r.Service, Kind: r.Kind.Name, Server: r.Server, Hash: uint64(r.Hash),
-		Method: r.Method, Target: r.Target, Header: r.Header, Length: r.Length,
-		LeftMillis: time.Until(r.Deadline).Milliseconds(),
-		Caller:     r.Caller, IdempotencyKey: r.IdempotencyKey,
-	}
-	if r.Body == nil {
-		return head, nil
+// send writes head and reads up to the answer; the body is streamed when the
+// dispatcher asks for it.
+func send(stream *quic.Stream, head requestHead, u *upload) (*answerHead, error) {
+	if err := writeFrame(stream, head); err != nil {
+		return nil, err
 	}
-	if r.Length < 0 || r.Length > inlineBytes {
-		head.Streams = true
-		return head, nil
+	if !head.Streams {
+		stream.Close()
 	}
-	head.Inline = make([]byte, r.Length)
-	_, err := io.ReadFull(r.Body, head.Inline)
-	return head, err
-}
-
-// readAnswer reads heads up to the answer, and streams the body when asked.
-func readAnswer(stream *quic.Stream, r *dispatch.Request) (*answerHead, error) {
 	for {
 		var a answerHead
 		if err := readFrame(stream, &a); err != nil {
@@ -140,7 +122,7 @@
 		}
 		switch {
 		case a.WantsBody:
-			go sendBody(stream, r.Body)
+			u.start()
 		case a.Code != code.OK:
 			return nil, code.NewError(a.Code, a.Reason)
 		default:
@@ -149,22 +131,38 @@
 	}
 }
 
-// sendBody streams a body; it ends with the stream at the latest.
-func sendBody(stream *quic.Stream, body io.Reader) {
-	if _, err := io.Copy(stream, body); err != nil {
-		stream.CancelWrite(streamFailed)
-		return
+func newRequestHead(r *dispatch.Request) (requestHead, error) {
+	head := requestHead{
+		Service: r.Service, Kind: r.Kind.Name, Server: r.Server, Hash: uint64(r.Hash),
+		Method: r.Method, Target: r.Target, Header: r.Header, Length: r.Length,
+		LeftMillis: time.Until(r.Deadline).Milliseconds(),
+		Caller:     r.Caller, IdempotencyKey: r.IdempotencyKey,
 	}
-	stream.Close()
+	if r.Body == nil {
+		return head, nil
+	}
+	if r.Length < 0 || r.Length > inlineBytes {
+		head.Streams = true
+		return head, nil
+	}
+	head.Inline = make([]byte, r.Length)
+	_, err := io.ReadFull(r.Body, head.Inline)
+	return head, err
 }
 
-// lost classes a stream that broke after the request may have been read.
-func lost(ctx context.Context, err error) error {
+// lost classes an exchange that gave no answer. A refusal is the dispatcher's
+// word; anything else broke after the request may have been read.
+func lost(ctx context.Context, u *upload, err error) error {
+	var e *code.Error
 	switch {
+	case errors.As(err, &e):
+		return e
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return code.NewError(code.BackendTimeout, "no answer in time")
 	case ctx.Err() != nil:
 		return code.NewError(code.CancelledRunning, "the caller went away")
+	case u.failed():
+		return code.NewError(code.UploadCutOff, "the body ended early")
 	default:
 		return code.NewError(code.DispatcherLost, err.Error())
 	}
@@ -206,19 +204,20 @@
 	_ = conn.CloseWithError(0, "failed")
 }
 
-// streamBody is the body of an answer; it ends with io.EOF only when the
-// dispatcher ended the stream, not when the stream broke.
+// streamBody is the body of an answer. It ends with io.EOF only when the
+// dispatcher ended the stream after the announced length, not when the stream
+// broke.
 type streamBody struct {
+	io.Reader
 	stream *quic.Stream
+	upload *upload
 	stop   func() bool
 }
 
-// Read implements io.Reader.
-func (b *streamBody) Read(p []byte) (int, error) { return b.stream.Read(p) }
-
 // Close implements io.Closer.
 func (b *streamBody) Close() error {
 	b.stop()
 	b.stream.CancelRead(streamFailed)
+	b.upload.stop()
 	return nil
 }
--- a/router/peer/frame.go
+++ b/router/peer/frame.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -64,11 +65,11 @@
 	if n > maxFrameBytes {
 		return fmt.Errorf("frame of %d bytes is over the limit of %d", n, maxFrameBytes)
 	}
-	data := make([]byte, n)
-	if _, err := io.ReadFull(r, data); err != nil {
+	var data bytes.Buffer // grows with what arrives, not with what was announced
+	if _, err := io.CopyN(&data, r, int64(n)); err != nil {
 		return fmt.Errorf("frame: %w", err)
 	}
-	if err := cbor.Unmarshal(data, v); err != nil {
+	if err := cbor.Unmarshal(data.Bytes(), v); err != nil {
 		return fmt.Errorf("frame: %w", err)
 	}
 	return nil
--- a/router/peer/server.go
+++ b/router/peer/server.go
@@ -136,7 +136,7 @@
 	case head.Streams:
 		r.Body = &askedBody{stream: stream}
 	case len(head.Inline) > 0:
-		r.Body = bytes.NewReader(head.Inline)
+		r.Body, r.Length = bytes.NewReader(head.Inline), int64(len(head.Inline))
 	}
 	return s.doer.Do(ctx, r)
 }
