--- a/core/control/assign_test.go
+++ b/core/control/assign_test.go
@@ -1,11 +1,13 @@
 package control
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"bronzewind.example/core/backend"
 	"bronzewind.example/core/keyspace"
 	"bronzewind.example/core/record"
 )
@@ -205,3 +207,32 @@
 	}
 	return n
 }
+
+func TestEarlierGrantsAnswerRevokesNothing(t *testing.T) {
+	h := handover{ownership: ownership{slots: []record.SlotRange{{First: 3, Last: 3, Server: "s1"}}}, drained: true, sequence: 7}
+	got := map[uint64]bool{}
+	for _, sequence := range []uint64{6, 7, 8} {
+		got[sequence] = h.revokedBy(backend.Grant{Sequence: sequence}, 64)
+	}
+	if diff := cmp.Diff(map[uint64]bool{6: false, 7: false, 8: true}, got); diff != "" {
+		t.Errorf("revoked by sequence (-want +got):\n%s", diff)
+	}
+}
+
+func TestSuccessorWaitsForWorkOfTheEarlierDispatcher(t *testing.T) {
+	f := newTestFleet(t, 3, "s1", "s2")
+	f.run(3 * time.Second)
+	lost := f.dispatcher("s1")
+	lost.paused = true
+	f.append(record.Record{ID: "lost", Since: uint64(len(f.log)), Body: record.InstanceLost{Member: lost.core.self}})
+	f.nodes = slices.DeleteFunc(f.nodes, func(n *testNode) bool { return n == lost })
+	f.listed[0].Leaving = true
+	f.run(1500 * time.Millisecond) // patience is 2 s
+	if n := f.dispatcher("s1"); n == lost || len(n.holds) > 0 {
+		t.Fatalf("the successor hands over while earlier work may run: %v", n.holds)
+	}
+	f.run(3 * time.Second)
+	if diff := cmp.Diff(map[string]int{"s2": 64}, f.owned()); diff != "" {
+		t.Errorf("slots owned (-want +got):\n%s", diff)
+	}
+}
