--- a/core/control/control.go
+++ b/core/control/control.go
@@ -146,6 +146,7 @@
 		loads    map[serverKey]measuredLoad
 		plans    map[string]*planState // by service, while the instance coordinates it
 		vacant   map[string]time.Time  // by service, since when it has no coordinator
+		readAt   time.Time             // of the last answer of the log
 		oldest   uint64                // offset of the oldest record that the log still keeps
 		saved    savedState
 		sequence uint64
@@ -153,7 +154,6 @@
 
 		began        time.Time     // of the first step
 		stepped      time.Time     // the last step
-		logHeard     time.Time     // when the log last answered a reader
 		longestLease time.Duration // of all configurations folded
 		admitted     bool          // the run has been a member
 		over         bool          // the run's membership ended
@@ -170,7 +170,7 @@
 		record record.Record
 		tries  int
 		made   time.Time // first append
-		sent   time.Time // last append
+		due    time.Time // when it is appended again
 	}
 )
 
@@ -221,7 +221,7 @@
 	next := NewCore(record.Writer{Instance: c.self.Instance, Incarnation: incarnation}, c.joined)
 	next.log, next.state, next.caughtUp, next.oldest = c.log, c.state, c.caughtUp, c.oldest
 	next.listed, next.loads = c.listed, c.loads
-	next.logHeard, next.longestLease = c.logHeard, c.longestLease
+	next.readAt, next.longestLease = c.readAt, c.longestLease
 	return next
 }
 
--- a/core/control/fake_test.go
+++ b/core/control/fake_test.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	testTick    = 20 * time.Millisecond
+	faultTick   = 20 * time.Millisecond
 	nearLatency = 2 * time.Millisecond  // between two processes
 	farLatency  = 30 * time.Millisecond // from the log to its readers
 
@@ -22,36 +22,36 @@
 )
 
 type (
-	// testFleet runs cores against a log, a network and backend servers in
+	// faultFleet runs cores against a log, a network and backend servers in
 	// virtual time.
-	testFleet struct {
+	faultFleet struct {
 		t         testing.TB
 		now       time.Time
-		queue     testQueue
+		queue     faultQueue
 		order     int
 		entries   [][]byte
 		truth     *state.State // of all entries
 		logDown   bool
 		list      []platform.Listed
-		instances map[string]*testInstance
-		servers   map[string]*testServer
+		instances map[string]*faultInstance
+		servers   map[string]*faultServer
 		cut       func(from, to string) bool
 		sent      map[string]int // messages by kind
 		bytes     int            // of datagrams
 		events    []string       // what was authorized, lost and so on
 	}
 
-	testCall struct {
+	faultCall struct {
 		at    time.Time
 		order int
 		run   func()
 	}
 
-	testQueue []testCall
+	faultQueue []faultCall
 
-	// testInstance is one process of an instance with its present run.
-	testInstance struct {
-		fleet  *testFleet
+	// faultInstance is one process of an instance with its present run.
+	faultInstance struct {
+		fleet  *faultFleet
 		joined record.InstanceJoined
 		core   *Core
 		number uint64 // of the present run
@@ -64,9 +64,9 @@
 		held   map[string]bool
 	}
 
-	// testServer takes grants as backend servers do.
-	testServer struct {
-		fleet       *testFleet
+	// faultServer takes grants as backend servers do.
+	faultServer struct {
+		fleet       *faultFleet
 		incarnation uint64
 		dead        bool
 		epoch, seq  uint64
@@ -75,28 +75,28 @@
 	}
 )
 
-func (q testQueue) Len() int { return len(q) }
+func (q faultQueue) Len() int { return len(q) }
 
-func (q testQueue) Less(i, j int) bool {
+func (q faultQueue) Less(i, j int) bool {
 	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].order < q[j].order
 }
-func (q testQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *testQueue) Push(x any)   { *q = append(*q, x.(testCall)) }
+func (q faultQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *faultQueue) Push(x any)   { *q = append(*q, x.(faultCall)) }
 
-func (q *testQueue) Pop() any {
+func (q *faultQueue) Pop() any {
 	last := (*q)[len(*q)-1]
 	*q = (*q)[:len(*q)-1]
 	return last
 }
 
-// newTestFleet returns a fleet of n instances and servers over six failure
+// newFaultFleet returns a fleet of n instances and servers over six failure
 // domains in three regions.
-func newTestFleet(t testing.TB, n, servers int, change func(*config.Configuration)) *testFleet {
-	f := &testFleet{
-		t: t, now: time.Unix(1000, 0), truth: state.New(), instances: map[string]*testInstance{},
-		servers: map[string]*testServer{}, cut: func(string, string) bool { return false }, sent: map[string]int{},
+func newFaultFleet(t testing.TB, n, servers int, change func(*config.Configuration)) *faultFleet {
+	f := &faultFleet{
+		t: t, now: time.Unix(1000, 0), truth: state.New(), instances: map[string]*faultInstance{},
+		servers: map[string]*faultServer{}, cut: func(string, string) bool { return false }, sent: map[string]int{},
 	}
-	conf := testConfiguration()
+	conf := faultConfiguration()
 	if change != nil {
 		change(&conf)
 	}
@@ -107,8 +107,8 @@
 	f.append(record.Record{ID: "publish", Body: record.ConfigurationPublished{Document: document}})
 	for i := range servers {
 		name := fmt.Sprintf("server-%d", i)
-		f.servers[name] = &testServer{fleet: f, incarnation: 1}
-		region, domain := testPlace(i)
+		f.servers[name] = &faultServer{fleet: f, incarnation: 1}
+		region, domain := faultPlace(i)
 		f.list = append(f.list, platform.Listed{Name: name, Service: "orders", Address: name, Region: region, FailureDomain: domain})
 	}
 	for i := range n {
@@ -117,11 +117,11 @@
 	return f
 }
 
-func testPlace(i int) (region, domain string) {
+func faultPlace(i int) (region, domain string) {
 	return fmt.Sprintf("region-%d", i%3), fmt.Sprintf("domain-%d", i%6)
 }
 
-func testConfiguration() config.Configuration {
+func faultConfiguration() config.Configuration {
 	ms := func(n int) config.Duration { return config.Duration(time.Duration(n) * time.Millisecond) }
 	return config.Configuration{
 		Version: 1, Fleet: "test", Regions: []config.Region{{Name: "region-0", FailureDomains: []string{"domain-0"}}},
@@ -138,16 +138,16 @@
 	}
 }
 
-func (f *testFleet) after(d time.Duration, run func()) {
+func (f *faultFleet) after(d time.Duration, run func()) {
 	f.order++
-	heap.Push(&f.queue, testCall{at: f.now.Add(d), order: f.order, run: run})
+	heap.Push(&f.queue, faultCall{at: f.now.Add(d), order: f.order, run: run})
 }
 
 // run lets virtual time pass.
-func (f *testFleet) run(d time.Duration) {
+func (f *faultFleet) run(d time.Duration) {
 	end := f.now.Add(d)
 	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
-		c := heap.Pop(&f.queue).(testCall)
+		c := heap.Pop(&f.queue).(faultCall)
 		f.now = c.at
 		c.run()
 	}
@@ -156,7 +156,7 @@
 
 // runUntil lets time pass until done, and returns how much; it fails the test
 // after the limit.
-func (f *testFleet) runUntil(what string, limit time.Duration, done func() bool) time.Duration {
+func (f *faultFleet) runUntil(what string, limit time.Duration, done func() bool) time.Duration {
 	f.t.Helper()
 	began := f.now
 	for !done() {
@@ -168,7 +168,7 @@
 	return f.now.Sub(began)
 }
 
-func (f *testFleet) append(r record.Record) {
+func (f *faultFleet) append(r record.Record) {
 	data, err := record.Encode(r)
 	if err != nil {
 		f.t.Fatal(err)
@@ -177,9 +177,9 @@
 	f.entries = append(f.entries, data)
 }
 
-func (f *testFleet) start(name string, place int) *testInstance {
-	region, domain := testPlace(place)
-	i := &testInstance{
+func (f *faultFleet) start(name string, place int) *faultInstance {
+	region, domain := faultPlace(place)
+	i := &faultInstance{
 		fleet:  f,
 		joined: record.InstanceJoined{Region: region, FailureDomain: domain, Control: name},
 		until:  map[string]time.Time{}, epochs: map[string]uint64{}, slots: map[string]int{}, held: map[string]bool{},
@@ -191,19 +191,19 @@
 	return i
 }
 
-func (i *testInstance) restart(name string) {
+func (i *faultInstance) restart(name string) {
 	i.number = uint64(i.fleet.now.UnixNano())
 	i.core = NewCore(record.Writer{Instance: name, Incarnation: i.number}, i.joined)
 	clear(i.until)
 }
 
-func (i *testInstance) tick() {
+func (i *faultInstance) tick() {
 	i.post(Ticked{})
-	i.fleet.after(testTick, i.tick)
+	i.fleet.after(faultTick, i.tick)
 }
 
 // follow reads the log and the list again and again.
-func (i *testInstance) follow() {
+func (i *faultInstance) follow() {
 	f := i.fleet
 	if i.dead {
 		return
@@ -218,10 +218,10 @@
 	f.after(farLatency, i.follow)
 }
 
-func (i *testInstance) post(e Event) { i.postTo(i.core, e) }
+func (i *faultInstance) post(e Event) { i.postTo(i.core, e) }
 
 // postTo steps a run; what comes in a pause is taken in after it.
-func (i *testInstance) postTo(core *Core, e Event) {
+func (i *faultInstance) postTo(core *Core, e Event) {
 	if i.paused {
 		i.missed = append(i.missed, func() { i.postTo(core, e) })
 		return
@@ -234,7 +234,7 @@
 	}
 }
 
-func (i *testInstance) resume() {
+func (i *faultInstance) resume() {
 	i.paused = false
 	missed := i.missed
 	i.missed = nil
@@ -243,7 +243,7 @@
 	}
 }
 
-func (i *testInstance) carryOut(e Effect) {
+func (i *faultInstance) carryOut(e Effect) {
 	f, name := i.fleet, i.core.self.Instance
 	switch e := e.(type) {
 	case Append:
@@ -273,7 +273,7 @@
 	}
 }
 
-func (i *testInstance) send(e SendMessage) {
+func (i *faultInstance) send(e SendMessage) {
 	f, from := i.fleet, i.core.self
 	f.sent[fmt.Sprintf("%T", e.Message)]++
 	if data, err := EncodeMessages([]Message{e.Message}); err == nil {
@@ -290,7 +290,7 @@
 	})
 }
 
-func (i *testInstance) sendGrant(e SendGrant) {
+func (i *faultInstance) sendGrant(e SendGrant) {
 	f, s, core := i.fleet, i.fleet.servers[e.Grant.Server], i.core
 	answered := GrantAnswered{
 		Service: e.Grant.Service, Server: e.Grant.Server, Epoch: e.Grant.Epoch, Sent: f.now, Grant: e.Grant,
@@ -304,9 +304,9 @@
 	})
 }
 
-func (s *testServer) clock() int64 { return s.fleet.now.UnixMicro() }
+func (s *faultServer) clock() int64 { return s.fleet.now.UnixMicro() }
 
-func (s *testServer) take(g backend.Grant) backend.GrantAnswer {
+func (s *faultServer) take(g backend.Grant) backend.GrantAnswer {
 	a := backend.GrantAnswer{Incarnation: s.incarnation, ClockMicros: s.clock()}
 	if g.Incarnation == s.incarnation && (g.Epoch > s.epoch || g.Epoch == s.epoch && g.Sequence > s.seq) {
 		s.epoch, s.seq, s.until, s.slots, a.Accepted = g.Epoch, g.Sequence, g.UntilMicros, g.Slots, true
@@ -315,7 +315,7 @@
 }
 
 // senders returns the instances that may send work to the server now.
-func (f *testFleet) senders(server string) []string {
+func (f *faultFleet) senders(server string) []string {
 	var out []string
 	for name, i := range f.instances {
 		if !i.dead && f.now.Before(i.until[server]) && !i.held[server] && i.slots[server] > 0 {
@@ -326,7 +326,7 @@
 }
 
 // served reports whether every slot is granted and authorized somewhere.
-func (f *testFleet) served() bool {
+func (f *faultFleet) served() bool {
 	n := 0
 	for name := range f.servers {
 		for _, from := range f.senders(name) {
@@ -338,16 +338,16 @@
 
 // settled returns a fleet in which all instances hold leases and all slots are
 // served, and the coordinator of the service.
-func settled(t testing.TB, n, servers int, change func(*config.Configuration)) (*testFleet, string) {
+func settled(t testing.TB, n, servers int, change func(*config.Configuration)) (*faultFleet, string) {
 	t.Helper()
-	f := newTestFleet(t, n, servers, change)
+	f := newFaultFleet(t, n, servers, change)
 	f.runUntil("served at first", 20*time.Second, func() bool { return f.served() && f.witnessed() })
 	f.run(2 * time.Second)
 	return f, f.truth.Services["orders"].Coordinator.Instance
 }
 
 // witnessed reports whether all instances have witnesses, or need none.
-func (f *testFleet) witnessed() bool {
+func (f *faultFleet) witnessed() bool {
 	want := min(witnessCount, len(f.instances)-1)
 	for _, m := range f.truth.Members {
 		if want >= minWitnesses && len(m.Witnesses) != want {
--- a/core/control/lease_test.go
+++ b/core/control/lease_test.go
@@ -37,7 +37,7 @@
 )
 
 // holder returns the instance with the role.
-func (f *testFleet) holder(r role) string {
+func (f *faultFleet) holder(r role) string {
 	v := f.truth.Services["orders"]
 	at := ""
 	for _, name := range v.ServerNames() {
@@ -97,7 +97,7 @@
 }
 
 // checkSenders fails the test when two instances may send to one server.
-func (f *testFleet) checkSenders() {
+func (f *faultFleet) checkSenders() {
 	f.t.Helper()
 	for name := range f.servers {
 		if got := f.senders(name); len(got) > 1 {
@@ -212,7 +212,7 @@
 }
 
 func TestConfigurationAfterJoinsEndsNoMembership(t *testing.T) {
-	f := newTestFleet(t, 4, 3, nil)
+	f := newFaultFleet(t, 4, 3, nil)
 	publication := f.entries[0]
 	f.entries, f.truth = nil, state.New()
 	f.run(5 * time.Second)
--- a/core/control/unavailable_test.go
+++ b/core/control/unavailable_test.go
@@ -21,13 +21,13 @@
 func TestUnavailableTimeAfterLoss(t *testing.T) {
 	for _, tc := range []struct {
 		name string
-		lose func(f *testFleet)
+		lose func(f *faultFleet)
 	}{
-		{"instance", func(f *testFleet) { f.instances[f.holder(dispatcher)].dead = true }},
-		{"coordinator", func(f *testFleet) { f.instances[f.holder(coordinator)].dead = true }},
-		{"backend server", func(f *testFleet) { f.servers["server-1"].dead = true }},
-		{"failure domain", func(f *testFleet) { f.loseDomain("domain-1") }},
-		{"region", func(f *testFleet) { f.loseDomain("domain-1"); f.loseDomain("domain-4") }},
+		{"instance", func(f *faultFleet) { f.instances[f.holder(dispatcher)].dead = true }},
+		{"coordinator", func(f *faultFleet) { f.instances[f.holder(coordinator)].dead = true }},
+		{"backend server", func(f *faultFleet) { f.servers["server-1"].dead = true }},
+		{"failure domain", func(f *faultFleet) { f.loseDomain("domain-1") }},
+		{"region", func(f *faultFleet) { f.loseDomain("domain-1"); f.loseDomain("domain-4") }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var took []time.Duration
@@ -35,8 +35,8 @@
 				f, _ := settled(t, 12, 12, nil)
 				f.run(time.Duration(phase) * 150 * time.Millisecond / lossPhases)
 				tc.lose(f)
-				f.run(testTick) // authority that was just lost still shows
-				took = append(took, testTick+f.runUntil("served again", 10*time.Second, f.servedByLiving))
+				f.run(faultTick) // authority that was just lost still shows
+				took = append(took, faultTick+f.runUntil("served again", 10*time.Second, f.servedByLiving))
 			}
 			slices.Sort(took)
 			t.Logf("unserved for %v to %v, median %v", took[0], took[len(took)-1], took[len(took)/2])
@@ -48,7 +48,7 @@
 }
 
 // loseDomain ends all instances and backend servers of a failure domain.
-func (f *testFleet) loseDomain(domain string) {
+func (f *faultFleet) loseDomain(domain string) {
 	for _, i := range f.instances {
 		i.dead = i.dead || i.joined.FailureDomain == domain
 	}
@@ -59,7 +59,7 @@
 
 // servedByLiving reports whether every slot is served by a backend server that
 // is not lost.
-func (f *testFleet) servedByLiving() bool {
+func (f *faultFleet) servedByLiving() bool {
 	n := 0
 	for name, s := range f.servers {
 		for _, from := range f.senders(name) {
--- a/core/control/witness.go
+++ b/core/control/witness.go
@@ -59,10 +59,9 @@
 // heardLog takes note that the log answered. What came to it in a long silence
 // is still to be read, so leases through the log count from now on again.
 func (c *Core) heardLog(now time.Time) {
-	if now.Sub(c.logHeard) > logSilence {
+	if now.Sub(c.readAt) > logSilence {
 		c.restartLogLeases(now)
 	}
-	c.logHeard = now
 }
 
 func (c *Core) restartLogLeases(now time.Time) {
@@ -276,7 +275,7 @@
 // decideLogLosses writes the loss of members without witnesses whose renewals
 // ended. The record is void when a renewal came before it in the log.
 func (c *Core) decideLogLosses(now time.Time) []Effect {
-	if now.Sub(c.logHeard) > logSilence {
+	if now.Sub(c.readAt) > logSilence {
 		return nil
 	}
 	var out []Effect
