--- a/core/control/coordinator.go
+++ b/core/control/coordinator.go
@@ -1,62 +1,166 @@
 package control
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
-	"bronzewind.example/core/config"
-	"bronzewind.example/core/keyspace"
 	"bronzewind.example/core/record"
 	"bronzewind.example/core/state"
 )
 
-// decideService claims the coordinator's role when it is vacant, and carries
-// it out when the instance holds it.
-func (c *Core) decideService(conf *config.Service, now time.Time) []Effect {
-	v := c.state.Services[conf.Name]
-	if !c.state.IsMember(v.Coordinator) {
-		if c.state.MemberNames()[0] != c.self.Instance {
-			return nil
+const (
+	// listLag is how long the list may miss a backend server before it counts
+	// as gone.
+	listLag = 3 * time.Second
+)
+
+// list takes the platform's list and notes which backend servers it misses.
+func (c *Core) list(e ServersListed, now time.Time) {
+	c.listed = e.Rows
+	named := map[serverKey]bool{}
+	for _, l := range e.Rows {
+		named[serverKey{service: l.Service, server: l.Name}] = true
+	}
+	for key := range c.missing {
+		if named[key] {
+			delete(c.missing, key)
+		}
+	}
+	for _, v := range c.state.Services {
+		for name := range v.Servers {
+			key := serverKey{service: v.Name, server: name}
+			if _, ok := c.missing[key]; !ok && !named[key] {
+				c.missing[key] = now
+			}
 		}
-		return c.propose("coordinator/"+v.Name, record.CoordinatorClaimed{Service: v.Name, Term: v.Term + 1}, now)
 	}
-	if v.Coordinator != c.self {
+}
+
+// gone reports whether the list misses a backend server for long enough.
+func (c *Core) gone(service, server string, now time.Time) bool {
+	since, ok := c.missing[serverKey{service: service, server: server}]
+	return ok && now.Sub(since) >= listLag
+}
+
+// decideServices carries out the coordinator's roles that the instance holds,
+// and claims those that it is to take over.
+func (c *Core) decideServices(now time.Time) []Effect {
+	var out []Effect
+	for _, v := range c.state.ServicesInOrder() {
+		if v.Coordinator == c.self {
+			out = append(out, c.coordinate(v, now)...)
+			continue
+		}
+		delete(c.plans, v.Name)
+		out = append(out, c.decideClaim(v, now)...)
+	}
+	return out
+}
+
+// coordinate decides what is to change in v, one record at a time.
+func (c *Core) coordinate(v *state.Service, now time.Time) []Effect {
+	if !c.planState(v.Name).due(c.state.Next, now) {
 		return nil
 	}
-	if rows := c.misplaced(v); len(rows) > 0 {
-		return c.propose("service/"+v.Name, record.ServersPlaced{Service: v.Name, Term: v.Term, Base: v.Version, Servers: rows}, now)
+	subject := "service/" + v.Name
+	c.forgetStale(subject, v.Version)
+	if rows, removed := c.misplaced(v, now), c.removable(v, now); len(rows)+len(removed) > 0 {
+		return c.propose(subject, record.ServersPlaced{Service: v.Name, Term: v.Term, Base: v.Version, Servers: rows, Removed: removed}, now)
+	}
+	if v.Removed {
+		return nil
 	}
-	if ranges := freeSlots(v); len(ranges) > 0 {
-		return c.propose("service/"+v.Name, record.SlotsAssigned{Service: v.Name, Term: v.Term, Base: v.Version, Ranges: ranges}, now)
+	if change := c.plan(v, now); !change.empty() {
+		return c.propose(subject, record.SlotsAssigned{Service: v.Name, Term: v.Term, Base: v.Version, Ranges: change.ranges, Keys: change.keys}, now)
 	}
 	return nil
 }
 
-// misplaced returns a row for each backend server that is new, changed, or
-// without a dispatcher.
-func (c *Core) misplaced(v *state.Service) []record.ServerRow {
-	var rows []record.ServerRow
-	load := c.dispatcherLoad()
+// forgetStale ends the wait for a record whose base has passed: it can't be
+// accepted any more.
+func (c *Core) forgetStale(subject string, version uint64) {
+	p, ok := c.pending[subject]
+	if !ok {
+		return
+	}
+	switch b := p.record.Body.(type) {
+	case record.ServersPlaced:
+		ok = b.Base == version
+	case record.SlotsAssigned:
+		ok = b.Base == version
+	}
+	if !ok {
+		delete(c.pending, subject)
+	}
+}
+
+// misplaced returns a row for each backend server that is new, changed, gone,
+// or without a dispatcher.
+func (c *Core) misplaced(v *state.Service, now time.Time) []record.ServerRow {
+	wanted := map[string]record.ServerRow{}
+	for name, s := range v.Servers {
+		row := s.Row
+		row.Leaving = row.Leaving || c.gone(v.Name, name, now)
+		wanted[name] = row
+	}
 	for _, l := range c.listed {
-		if l.Service != v.Name {
-			continue
-		}
-		old := v.Servers[l.Name].Row
-		row := record.ServerRow{
-			Name: l.Name, Address: l.Address, Region: l.Region, FailureDomain: l.FailureDomain,
-			Dispatcher: old.Dispatcher, Leaving: l.Leaving,
-		}
-		if !c.state.IsMember(row.Dispatcher) {
-			row.Dispatcher = c.pickDispatcher(l.Region, l.FailureDomain, load)
-			load[row.Dispatcher.Instance]++
+		if l.Service == v.Name && !v.Removed {
+			wanted[l.Name] = record.ServerRow{
+				Name: l.Name, Address: l.Address, Region: l.Region, FailureDomain: l.FailureDomain,
+				Dispatcher: v.Servers[l.Name].Row.Dispatcher, Leaving: l.Leaving, Capacity: l.Capacity,
+			}
 		}
-		if row != old {
+	}
+	var rows []record.ServerRow
+	load := c.dispatcherLoad()
+	for _, name := range slices.Sorted(maps.Keys(wanted)) {
+		row := wanted[name]
+		c.dispatchTo(&row, v.Servers[name].Row, load)
+		if row != v.Servers[name].Row {
 			rows = append(rows, row)
 		}
 	}
 	return rows
 }
 
+// dispatchTo gives row a dispatcher that is a member, and a next one when that
+// is about to leave.
+func (c *Core) dispatchTo(row *record.ServerRow, old record.ServerRow, load map[string]int) {
+	row.Next = record.Writer{}
+	m, ok := c.state.Members[row.Dispatcher.Instance]
+	switch {
+	case !ok || m.Writer != row.Dispatcher:
+		row.Dispatcher = c.pickDispatcher(row.Region, row.FailureDomain, load)
+		load[row.Dispatcher.Instance]++
+	case m.Leaving && c.stays(old.Next):
+		row.Next = old.Next
+	case m.Leaving:
+		if next := c.pickDispatcher(row.Region, row.FailureDomain, load); c.stays(next) {
+			row.Next = next
+			load[next.Instance]++
+		}
+	}
+}
+
+// stays reports whether w is a member that is not about to leave.
+func (c *Core) stays(w record.Writer) bool {
+	return c.state.IsMember(w) && !c.state.Members[w.Instance].Leaving
+}
+
+// removable returns the backend servers that are gone from the list and own
+// nothing.
+func (c *Core) removable(v *state.Service, now time.Time) []string {
+	var out []string
+	for _, name := range v.ServerNames() {
+		if c.gone(v.Name, name, now) && v.Servers[name].Row.Leaving && !v.OwnsAny(name) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // dispatcherLoad counts the backend servers that each member dispatches to.
 func (c *Core) dispatcherLoad() map[string]int {
 	load := map[string]int{}
@@ -73,7 +177,10 @@
 // pickDispatcher chooses the member nearest to the backend server, and the
 // least loaded of those.
 func (c *Core) pickDispatcher(region, domain string, load map[string]int) record.Writer {
-	names := c.state.MemberNames()
+	names := slices.DeleteFunc(c.state.MemberNames(), func(n string) bool { return c.state.Members[n].Leaving })
+	if len(names) == 0 {
+		names = c.state.MemberNames()
+	}
 	distance := func(name string) int {
 		j := c.state.Members[name].Joined
 		switch {
@@ -94,41 +201,3 @@
 	})
 	return c.state.Members[names[0]].Writer
 }
-
-// freeSlots spreads the slots without an owner over the servers that are up,
-// the one with the fewest slots first.
-func freeSlots(v *state.Service) []record.SlotRange {
-	count := map[string]int{}
-	for _, row := range v.Slots {
-		count[row.Owner]++
-	}
-	var up []string
-	for _, n := range v.ServerNames() {
-		if s := v.Servers[n]; s.Up && !s.Row.Leaving {
-			up = append(up, n)
-		}
-	}
-	if len(up) == 0 {
-		return nil
-	}
-	var out []record.SlotRange
-	for i, row := range v.Slots {
-		if row.Owner != "" {
-			continue
-		}
-		least := up[0]
-		for _, n := range up[1:] {
-			if count[n] < count[least] {
-				least = n
-			}
-		}
-		count[least]++
-		slot := keyspace.Slot(i)
-		if n := len(out); n > 0 && out[n-1].Server == least && out[n-1].Last+1 == slot {
-			out[n-1].Last = slot
-			continue
-		}
-		out = append(out, record.SlotRange{First: slot, Last: slot, Server: least})
-	}
-	return out
-}
--- a/router/dispatch/set.go
+++ b/router/dispatch/set.go
@@ -79,7 +79,7 @@
 		}
 		servers := v.Servers()
 		for j := range servers {
-			if servers[j].Dispatcher != s.self {
+			if servers[j].Dispatcher != t.Self {
 				continue
 			}
 			key := serverKey{service: v.Config.Name, server: servers[j].Name}
@@ -129,6 +129,16 @@
 	return d.do(ctx, r)
 }
 
+// Close ends all dispatchers; queued requests are answered that they did not run.
+func (s *Set) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, d := range s.servers {
+		delete(s.servers, key)
+		d.close()
+	}
+}
+
 func (s *Set) dispatcher(service, server string) (*Dispatcher, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
