Grant nothing to a backend server that was reported down

Cause: a dispatcher that had written "server down" went on granting as soon as the server answered again, or had restarted, while that record was still on its way to the log. The record then freed the slots, and they were granted to another server beside the first. It was not the lapse wait (the wait had ended properly before the record was made) and not the fence (one dispatcher, one epoch).

Change: while the record is on its way, the server is only asked for its clock, and no work is authorized; the record is sent again until it is read back. An instance whose log holds members but no readable configuration no longer stops with a nil pointer.

--- a/core/control/grants.go
+++ b/core/control/grants.go
@@ -58,7 +58,7 @@
 	g.share.update(v, server.Row.Name)
 	out := c.decideHolds(v, server, g, now)
 	switch {
-	case server.Up && g.unanswered >= silentRenewals && now.After(g.lapsed):
+	case c.downReported(v.Name, server.Row.Name), server.Up && g.unanswered >= silentRenewals && now.After(g.lapsed):
 		out = append(out, c.report(v, server, false, 0, now)...)
 	case server.Up && server.Handed && now.Sub(g.began) > c.earlierGrants(v, server):
 		out = append(out, c.report(v, server, true, server.Run, now)...)
@@ -118,7 +118,8 @@
 // sendGrant asks for the clock of a backend server that is not known yet or
 // fell silent, and otherwise grants the slots that it owns, but for drained
 // ones, until the end of the own lease at most. A silent server is sent no
-// grant, since each would put off the time by which all have surely lapsed.
+// grant, since each would put off the time by which all have surely lapsed; nor
+// is one that was reported down, since the record may free its slots any time.
 func (c *Core) sendGrant(v *state.Service, server state.Server, g *grantState, now time.Time) Effect {
 	g.tried = now
 	g.sequence++
@@ -127,7 +128,7 @@
 	grant := backend.Grant{Service: v.Name, Server: server.Row.Name, Epoch: g.epoch, Sequence: g.sequence}
 	silent := now.Sub(g.heard) > silentRenewals*c.timing().GrantRenewal.Std()
 	ttl := min(c.ttl(), c.leaseUntil().Sub(now))
-	if g.incarnation != 0 && !silent && ttl > 0 && c.checks(v.Name) {
+	if g.incarnation != 0 && !silent && ttl > 0 && c.checks(v.Name) && !c.downReported(v.Name, server.Row.Name) {
 		grant.Incarnation = g.incarnation
 		grant.UntilMicros = g.clock + (now.Sub(g.asked) + ttl).Microseconds()
 		c.fillGrant(&grant, v, server, g)
@@ -167,6 +168,9 @@
 	if e.Sent.After(g.asked) && !late {
 		g.asked, g.heard, g.clock = e.Sent, now, e.Answer.ClockMicros
 	}
+	if c.downReported(e.Service, e.Server) {
+		return nil
+	}
 	if !c.checks(e.Service) {
 		return c.uncheckedAnswered(v, server, g, e, now)
 	}
@@ -217,7 +221,16 @@
 	if g, ok := c.grants[serverKey{service: v.Name, server: server.Row.Name}]; ok {
 		body.Leaving = g.leaving
 	}
-	return c.propose("server/"+v.Name+"/"+server.Row.Name, body, now)
+	return c.propose(reportSubject(v.Name, server.Row.Name), body, now)
+}
+
+func reportSubject(service, server string) string { return "server/" + service + "/" + server }
+
+// downReported reports whether a record that frees all slots of the backend
+// server is on its way to the log.
+func (c *Core) downReported(service, server string) bool {
+	r, ok := c.pending[reportSubject(service, server)].record.Body.(record.ServerReported)
+	return ok && !r.Up
 }
 
 func (c *Core) ttl() time.Duration { return c.state.Configuration.Timing.Grant.Std() }
--- a/core/control/witness.go
+++ b/core/control/witness.go
@@ -78,6 +78,9 @@
 		c.graceAfterGap(now)
 	}
 	c.admitted = c.admitted || c.state.IsMember(c.self)
+	if c.state.Configuration == nil {
+		return // its record may have been skipped, damaged
+	}
 	if c.witnessing.seen != c.state.MembersChanged {
 		c.witnessing.seen = c.state.MembersChanged
 		c.watchMembers(now)
