Let another member write the checkpoint when the coordinator can't

Cause: after an outage longer than retention, an instance that had not read the last records waits for a checkpoint. Was it the coordinator, or was one claimed meanwhile, no one wrote one, since only the coordinator may; the role could not be taken over either. Ruled out: the loading of checkpoints (instances that were given one went on).

Change: once all records of the last checkpoint have lapsed for two seconds and more, other members write one too, one after the other.

--- a/core/control/checkpoint.go
+++ b/core/control/checkpoint.go
@@ -14,6 +14,7 @@
 	checkpointInterval  = 5 * time.Minute
 	checkpointPause     = 10 * time.Second // least time between two checkpoints
 	rewritePause        = time.Second      // the same when the last one has lapsed
+	substitutePauses    = 2                // rewritePauses after which another member writes one
 )
 
 // savedState is what the instance knows of the checkpoints in the log, and the
@@ -27,17 +28,18 @@
 
 // decideCheckpoint writes the state to the log again before the records that
 // it is made of lapse. The coordinator of the first service does so, one part
-// after the other.
+// after the other; another member does when all has lapsed and the coordinator
+// writes nothing, since it may be waiting for a checkpoint itself.
 func (c *Core) decideCheckpoint(now time.Time) []Effect {
 	saved := &c.saved
 	if saved.since.IsZero() || saved.whole != c.state.Checkpoint.Whole {
 		saved.whole, saved.since = c.state.Checkpoint.Whole, now
 	}
-	first := c.state.ServicesInOrder()[0]
-	if first.Coordinator != c.self || saved.offset <= saved.whole {
+	writes := c.writesCheckpoints(now)
+	if !writes || saved.offset <= saved.whole {
 		saved.offset, saved.parts = 0, nil
 	}
-	if first.Coordinator != c.self || len(saved.parts) == 0 && !c.checkpointDue(now) {
+	if !writes || len(saved.parts) == 0 && !c.checkpointDue(now) {
 		return nil
 	}
 	if len(saved.parts) == 0 {
@@ -55,6 +57,14 @@
 	return c.propose(fmt.Sprintf("checkpoint/%d/%d", saved.offset, part), body, now)
 }
 
+func (c *Core) writesCheckpoints(now time.Time) bool {
+	if c.state.ServicesInOrder()[0].Coordinator == c.self {
+		return true
+	}
+	wait := time.Duration(substitutePauses+c.witnessing.rank) * rewritePause
+	return c.oldest > c.state.Checkpoint.Whole && now.Sub(c.saved.since) >= wait
+}
+
 // checkpointDue reports whether the last whole checkpoint is old, or in the
 // older half of what the log still keeps.
 func (c *Core) checkpointDue(now time.Time) bool {
