Queue by rank, worth and deadline with floors and reserves

Cause: the queue was strict by rank, so a flood of the most urgent work left the rest nothing, long bulk work held every slot when urgent work came, and held slots cost a scan and a sort of the whole queue.

Change: the queue is a pure policy with push, pop and expire that take the time: rank, then work that can still meet its target, then worth per second of measured slot time, then deadline. Kinds have a floor of slot time, more urgent kinds a reserve of slots sized by the load that they offer; work that can't start in time is refused at once, displaced work is told so. Work of held slots is parked. Own service times and refusals set how much runs at once; a cold server opens its slots over cold-start. A try that did not run is queued again.

--- a/core/config/config.go
+++ b/core/config/config.go
@@ -83,6 +83,7 @@
 		ChecksGrants   bool     `yaml:"checks-grants"`   // refuses work without a valid grant
 		TrustsRefusals bool     `yaml:"trusts-refusals"` // a marked refusal surely did not run
 		ColdStart      Duration `yaml:"cold-start"`      // ramp of a new backend server
+		QueueLimit     int      `yaml:"queue-limit"`     // most requests queued at one dispatcher; 0 means the sum over the kinds
 		Kinds          []Kind   `yaml:"kinds"`           // at least one
 	}
 
--- a/core/config/parse.go
+++ b/core/config/parse.go
@@ -68,6 +68,7 @@
 	add(s.Slots < 1 || s.Slots > 1<<20 || s.Slots&(s.Slots-1) != 0, at+".slots", "is not a power of two up to 1048576", "choose for example 4096")
 	add(s.ServerSlots < 1, at+".server-slots", "is not positive", "give the number of requests that a backend server runs at once")
 	add(s.Connections < s.ServerSlots, at+".connections", "is below server-slots", "raise connections")
+	add(s.QueueLimit < 0, at+".queue-limit", "is negative", "give the most requests queued at one dispatcher, or 0 for the sum over the kinds")
 	add(len(s.Kinds) == 0, at+".kinds", "is empty", "configure at least one kind of work")
 	switch s.Key.From {
 	case KeyFromPath:
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -37,6 +37,7 @@
 		FailureDomain string
 		Up            bool
 		Leaving       bool
+		Run           uint64 // incarnation that was last reported up
 		Epoch         uint64 // of the dispatcher role
 		Dispatcher    record.Writer
 		Forward       string // QUIC address of the dispatcher; "" when it is no member
@@ -86,7 +87,7 @@
 	out := Server{
 		Service: service, Name: v.Row.Name, Address: v.Row.Address,
 		Region: v.Row.Region, FailureDomain: v.Row.FailureDomain,
-		Up: v.Up, Leaving: v.Row.Leaving,
+		Up: v.Up, Leaving: v.Row.Leaving, Run: v.Run,
 		Epoch: v.Epoch, Dispatcher: v.Row.Dispatcher,
 	}
 	if m, ok := s.Members[v.Row.Dispatcher.Instance]; ok && m.Writer == v.Row.Dispatcher {
--- /dev/null
+++ b/router/dispatch/admission.go
@@ -0,0 +1,83 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"bronzewind.example/core/code"
+)
+
+// admit checks whether j may join the queue. It returns the job that has to
+// leave for it, or why j is refused.
+func (q *queue) admit(j *job, now time.Time) (*job, *code.Error) {
+	k := j.kind
+	if limit, ok := q.caps[j.request.Caller]; ok && q.callers[j.request.Caller] >= limit {
+		return nil, code.NewError(code.CallerCapReached, "callers of kind "+j.request.Caller+" have too much work queued")
+	}
+	if now.Add(q.wait(k)).After(j.startBy) {
+		return nil, code.NewError(code.TargetUnreachable, "the work queued ahead takes longer than the caller waits")
+	}
+	if k.queued >= k.config.QueueLimit {
+		// What is late can't meet its target any more; j still can.
+		if j.lateAt.After(now) && k.late.len() > 0 {
+			return k.late.last(), nil
+		}
+		return nil, code.NewError(code.QueueFull, "too much work of kind "+k.config.Name+" is queued")
+	}
+	if q.queued >= q.limit {
+		if out := q.leastWorthy(k); out != nil {
+			return out, nil
+		}
+		return nil, code.NewError(code.QueueFull, "too much work is queued that is as urgent")
+	}
+	return nil, nil
+}
+
+// wait returns the least time until a new request of k starts: the queued work
+// that goes before it over all slots, or over the floor of k if that is sooner.
+func (q *queue) wait(k *kindQueue) time.Duration {
+	var ahead time.Duration
+	for _, o := range q.kinds {
+		switch {
+		case o.config.Rank < k.config.Rank:
+			ahead += time.Duration(o.ready()) * o.service.mean
+		case o == k || o.config.Rank == k.config.Rank && o.density() > k.density():
+			ahead += time.Duration(o.fresh.len()) * o.service.mean
+		}
+	}
+	strict := ahead / time.Duration(q.slots)
+	if k.config.Floor == 0 {
+		return strict
+	}
+	own := float64(k.fresh.len()) * float64(k.service.mean)
+	if own/(k.config.Floor*float64(q.slots)) > math.MaxInt64/2 {
+		return strict
+	}
+	return min(strict, time.Duration(own/(k.config.Floor*float64(q.slots))))
+}
+
+// leastWorthy takes out the queued job of least worth of a rank below k, or
+// returns nil. A kind with a floor keeps enough to fill the slots.
+func (q *queue) leastWorthy(k *kindQueue) *job {
+	var least *kindQueue
+	for _, o := range q.kinds {
+		kept := 0
+		if o.config.Floor > 0 {
+			kept = q.slots
+		}
+		if o.config.Rank <= k.config.Rank || o.ready() <= kept {
+			continue
+		}
+		if least == nil || least.before(o) {
+			least = o
+		}
+	}
+	switch {
+	case least == nil:
+		return nil
+	case least.late.len() > 0:
+		return least.late.last()
+	default:
+		return least.fresh.last()
+	}
+}
--- a/router/dispatch/dispatcher.go
+++ b/router/dispatch/dispatcher.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
+	"bronzewind.example/core/backend"
 	"bronzewind.example/core/code"
+	"bronzewind.example/core/config"
 	"bronzewind.example/core/control"
 	"bronzewind.example/core/keyspace"
 	"bronzewind.example/core/record"
@@ -14,37 +19,31 @@
 )
 
 type (
-	// Dispatcher queues and sends the work of one backend server.
+	// Dispatcher queues and sends the work of one backend server. It starts no
+	// goroutine: each caller's own waits for its turn, for the end of its
+	// patience, and for the next try of its request.
 	Dispatcher struct {
 		set       *Set
 		transport http.RoundTripper
+		startable func(keyspace.Slot) bool // mayStart
 
-		mu       sync.Mutex // guards all below
-		service  *route.Service
-		server   *route.Server
-		closed   bool
-		until    time.Time // the grant surely holds before it
-		epoch    uint64
-		granted  []bool // by slot
-		held     []record.SlotRange
-		waiting  queue
-		running  int // never above the service's server slots
-		inSlot   map[keyspace.Slot]int
-		sequence uint64
-	}
-
-	// job is one queued request.
-	job struct {
-		request  *Request
-		slot     keyspace.Slot
-		priority float64 // worth per second of slot time
-		arrived  uint64
-		start    chan error // receives nil to start, or why it can't; capacity 1
-		index    int        // in the queue; -1 when not queued
+		mu      sync.Mutex // guards all below
+		service *route.Service
+		server  *route.Server
+		closed  bool
+		until   time.Time // the grant surely holds before it
+		epoch   uint64
+		granted []bool // by slot
+		held    []record.SlotRange
+		drained bool // it was reported that no held slot has work in flight
+		queue   *queue
+		limiter limiter
+		ramp    ramp
+		inSlot  map[keyspace.Slot]int
 	}
 )
 
-func newDispatcher(s *Set, v *route.Service, server *route.Server) *Dispatcher {
+func newDispatcher(s *Set, v *route.Service, server *route.Server, callers []config.Caller) *Dispatcher {
 	t := s.transport
 	if t == nil {
 		t = &http.Transport{
@@ -54,46 +53,80 @@
 			DisableCompression:  true,
 		}
 	}
-	return &Dispatcher{set: s, transport: t, service: v, server: server, inSlot: map[keyspace.Slot]int{}}
+	d := &Dispatcher{
+		set: s, transport: t, service: v, server: server,
+		queue:   newQueue(v.Config, callers),
+		limiter: newLimiter(v.Config.ServerSlots),
+		inSlot:  map[keyspace.Slot]int{},
+	}
+	d.startable = d.mayStart
+	return d
 }
 
 // setRoute takes the new snapshot and turns away work of slots that moved.
-func (d *Dispatcher) setRoute(v *route.Service, server *route.Server) {
+func (d *Dispatcher) setRoute(v *route.Service, server *route.Server, callers []config.Caller) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.service, d.server = v, server
-	for _, j := range d.waiting.all() {
-		if owner, _, ok := v.Owner(j.slot); !ok || owner.Name != server.Name {
-			d.waiting.remove(j)
-			j.start <- code.NewError(code.StaleRoute, "the key moved to another backend server")
-		}
+	if v.Config != d.service.Config {
+		d.queue.configure(v.Config, callers)
+		d.limiter.setMax(v.Config.ServerSlots)
 	}
-	d.startNext()
+	d.service, d.server = v, server
+	d.turnAway("the key moved to another backend server", func(j *job) bool { return !d.owns(j.slot) })
+	d.startNext(d.set.clock.Now())
+}
+
+// owns reports whether the backend server owns slot; d.mu is held.
+func (d *Dispatcher) owns(slot keyspace.Slot) bool {
+	owner, _, ok := d.service.Owner(slot)
+	return ok && owner.Name == d.server.Name
 }
 
 func (d *Dispatcher) authorize(a control.Authorize) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.until, d.epoch, d.held = a.Until, a.Epoch, a.Held
-	d.granted = make([]bool, d.service.Config.Slots)
-	for _, r := range a.Granted {
-		for i := r.First; i <= r.Last; i++ {
+	now := d.set.clock.Now()
+	d.until, d.epoch = a.Until, a.Epoch
+	d.setHeld(a.Held)
+	d.setGranted(a.Granted)
+	cold := !d.server.Up || d.server.Run != a.Incarnation
+	if a.Incarnation != d.ramp.run {
+		d.limiter = newLimiter(d.service.Config.ServerSlots)
+	}
+	d.ramp = d.ramp.withRun(a.Incarnation, cold, d.service.Config.ColdStart.Std(), now)
+	d.queue.unpark(now, d.startable)
+	d.startNext(now)
+}
+
+func (d *Dispatcher) setGranted(rs []record.SlotRange) {
+	if len(d.granted) != d.service.Config.Slots {
+		d.granted = make([]bool, d.service.Config.Slots)
+	}
+	clear(d.granted)
+	for _, r := range rs {
+		for i := int(r.First); i <= int(r.Last) && i < len(d.granted); i++ {
 			d.granted[i] = true
 		}
 	}
-	d.startNext()
+}
+
+// setHeld takes the slots that may not start; d.mu is held.
+func (d *Dispatcher) setHeld(rs []record.SlotRange) {
+	if !slices.Equal(rs, d.held) {
+		d.held, d.drained = rs, false
+	}
+	d.reportDrained()
 }
 
 func (d *Dispatcher) hold(h control.HoldSlots) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.held = h.Ranges
-	d.reportDrained()
+	d.setHeld(h.Ranges)
 }
 
 // reportDrained tells control once no held slot has work in flight; d.mu is held.
 func (d *Dispatcher) reportDrained() {
-	if len(d.held) == 0 {
+	if len(d.held) == 0 || d.drained {
 		return
 	}
 	for slot := range d.inSlot {
@@ -101,6 +134,7 @@
 			return
 		}
 	}
+	d.drained = true
 	event := control.SlotsDrained{Service: d.server.Service, Server: d.server.Name, Ranges: d.held}
 	go d.set.drained(event)
 }
@@ -109,85 +143,147 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.closed = true
-	for _, j := range d.waiting.all() {
-		d.waiting.remove(j)
-		j.start <- code.NewError(code.StaleRoute, "another instance dispatches to the backend server now")
+	d.turnAway("another instance dispatches to the backend server now", func(*job) bool { return true })
+}
+
+// turnAway refuses the queued jobs that match; d.mu is held.
+func (d *Dispatcher) turnAway(reason string, match func(*job) bool) {
+	var out []*job
+	d.queue.each(func(j *job) {
+		if match(j) {
+			out = append(out, j)
+		}
+	})
+	for _, j := range out {
+		d.queue.remove(j)
+		j.start <- code.NewError(code.StaleRoute, reason)
 	}
 }
 
-// do queues r and sends it once a slot is free.
+// do queues r and sends it once a slot is free. A try that provably did not
+// run is queued again until the caller's patience ends.
 func (d *Dispatcher) do(ctx context.Context, r *Request) (*Answer, error) {
 	j, err := d.enqueue(r)
 	if err != nil {
 		return nil, err
 	}
-	timer := d.set.clock.NewTimer(r.Deadline.Sub(d.set.clock.Now()))
+	for {
+		if err := d.await(ctx, j); err != nil {
+			return nil, err
+		}
+		answer, err := d.send(ctx, j)
+		if err == nil {
+			return answer, nil
+		}
+		wait, again := d.failed(ctx, j, err)
+		if !again || !d.pause(ctx, wait) {
+			return nil, err
+		}
+		d.set.metrics.retried.Add(1)
+		if err := d.requeue(j); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// await waits until j starts, or says why it can't.
+func (d *Dispatcher) await(ctx context.Context, j *job) error {
+	if j.start == nil {
+		return nil
+	}
+	timer := d.set.clock.NewTimer(j.startBy.Sub(d.set.clock.Now()))
 	defer timer.Stop()
 	select {
 	case err := <-j.start:
-		if err != nil {
-			return nil, err
-		}
+		return err
 	case <-ctx.Done():
-		if d.abandon(j) {
-			return nil, code.NewError(code.CancelledInQueue, "the caller went away")
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return d.giveUp(j, code.NewError(code.DeadlineBeforeStart, "no slot came free in time"))
 		}
+		return d.giveUp(j, code.NewError(code.CancelledInQueue, "the caller went away"))
 	case <-timer.C:
-		if d.abandon(j) {
-			return nil, code.NewError(code.DeadlineBeforeStart, "no slot came free in time")
-		}
+		d.expire()
+		return d.giveUp(j, code.NewError(code.TargetUnreachable, "no slot came free in time to finish before the deadline"))
+	}
+}
+
+// giveUp takes j out of the queue for reason, unless its fate was decided
+// before; it returns nil when j has started.
+func (d *Dispatcher) giveUp(j *job, reason *code.Error) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if j.heap == nil {
+		return <-j.start
+	}
+	d.queue.remove(j)
+	return reason
+}
+
+// expire refuses all work that can't meet its deadline any more.
+func (d *Dispatcher) expire() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, j := range d.queue.expire(d.set.clock.Now()) {
+		j.start <- code.NewError(code.TargetUnreachable, "no slot came free in time to finish before the deadline")
 	}
-	return d.send(ctx, j)
 }
 
 func (d *Dispatcher) enqueue(r *Request) (*job, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	slot := r.Hash.Slot(d.service.Config.Slots)
-	if owner, _, ok := d.service.Owner(slot); d.closed || !ok || owner.Name != d.server.Name {
+	if d.closed || !d.owns(slot) {
 		return nil, code.NewError(code.StaleRoute, "the key is owned by another backend server")
 	}
-	if d.waiting.count(r.Kind.Name) >= r.Kind.QueueLimit {
-		return nil, code.NewError(code.QueueFull, "too much work of kind "+r.Kind.Name+" is queued")
+	now := d.set.clock.Now()
+	j := d.queue.newJob(r, slot, now)
+	displaced, err := d.queue.push(j, now)
+	if err != nil {
+		return nil, err
 	}
-	d.sequence++
-	j := &job{
-		request: r, slot: slot, arrived: d.sequence,
-		priority: r.Kind.Worth / r.Kind.ServiceTime.Std().Seconds(),
-		start:    make(chan error, 1),
+	if displaced != nil {
+		displaced.start <- code.NewError(code.QueueFull, "more urgent work took the place in the queue")
 	}
-	d.waiting.push(j)
-	d.startNext()
+	d.startOrWait(j, now)
 	return j, nil
 }
 
-// abandon takes j out of the queue; it returns false when j has started.
-func (d *Dispatcher) abandon(j *job) bool {
+// startOrWait starts what may start; when j is not among it, j gets a channel
+// to wait on. d.mu is held.
+func (d *Dispatcher) startOrWait(j *job, now time.Time) {
+	j.start = nil
+	d.startNext(now)
+	if j.heap != nil {
+		j.start = make(chan error, 1)
+	}
+}
+
+// requeue queues j again in its old place after a try that did not run.
+func (d *Dispatcher) requeue(j *job) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if j.index < 0 {
-		select {
-		case err := <-j.start:
-			return err != nil
-		default:
-			return false
-		}
+	if d.closed || !d.owns(j.slot) {
+		return code.NewError(code.StaleRoute, "the key moved to another backend server")
 	}
-	d.waiting.remove(j)
-	return true
+	now := d.set.clock.Now()
+	d.queue.insert(j, now)
+	d.startOrWait(j, now)
+	return nil
 }
 
 // startNext starts queued work while slots are free and the grant holds;
 // d.mu is held.
-func (d *Dispatcher) startNext() {
-	for d.running < d.service.Config.ServerSlots && d.set.clock.Now().Before(d.until) {
-		j := d.waiting.popWhere(func(j *job) bool { return d.mayStart(j.slot) })
-		if j == nil {
-			return
-		}
-		d.running++
+func (d *Dispatcher) startNext(now time.Time) {
+	if !now.Before(d.until) {
+		return
+	}
+	d.queue.capacity = min(d.limiter.slots(now), d.ramp.slots(d.service.Config.ServerSlots, now))
+	for j := d.queue.pop(now, d.startable); j != nil; j = d.queue.pop(now, d.startable) {
 		d.inSlot[j.slot]++
-		j.start <- nil
+		d.set.metrics.started(j, now)
+		if j.start != nil {
+			j.start <- nil
+		}
 	}
 }
 
@@ -199,12 +295,76 @@
 func (d *Dispatcher) finish(j *job) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.running--
+	now := d.set.clock.Now()
+	full := d.queue.running >= d.queue.capacity
+	d.queue.end(j, now)
+	if j.answered {
+		d.limiter.answered(j.kind.service.slowness(), full, j.kind.service.mean, now)
+		d.set.metrics.finished(j, now)
+	}
 	if d.inSlot[j.slot]--; d.inSlot[j.slot] == 0 {
 		delete(d.inSlot, j.slot)
 	}
 	d.reportDrained()
-	d.startNext()
+	d.startNext(now)
+}
+
+// judge looks for signs of overload in an answer; one without is measured.
+func (d *Dispatcher) judge(j *job, resp *http.Response) {
+	shed := resp.Header.Get(backend.RefusedHeader) != "" ||
+		resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
+	if j.answered = !shed; j.answered {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.limiter.lower(shedFactor, j.kind.service.mean, d.set.clock.Now())
+}
+
+// failed tells the limiter of a failed try; it returns whether j may be tried
+// again, and after what wait.
+func (d *Dispatcher) failed(ctx context.Context, j *job, err error) (time.Duration, bool) {
+	var e *code.Error
+	if !errors.As(err, &e) || ctx.Err() != nil {
+		return 0, false
+	}
+	unsent := e.Code == code.BackendUnreachable
+	if !unsent && e.Code != code.RefusedByBackend {
+		return 0, false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.set.clock.Now()
+	wait := d.limiter.refused(j.kind.service.mean, now)
+	return wait, now.Add(wait).Before(j.startBy) && (unsent || rewind(j.request))
+}
+
+// pause waits before the next try, then lets the dispatcher go on; it returns
+// false when the caller went away.
+func (d *Dispatcher) pause(ctx context.Context, wait time.Duration) bool {
+	timer := d.set.clock.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.startNext(d.set.clock.Now())
+	return ctx.Err() == nil
+}
+
+// rewind makes the body of r ready for another try; a streamed one can't be.
+func rewind(r *Request) bool {
+	if r.Body == nil {
+		return true
+	}
+	s, ok := r.Body.(io.Seeker)
+	if !ok {
+		return false
+	}
+	_, err := s.Seek(0, io.SeekStart)
+	return err == nil
 }
 
 func contains(rs []record.SlotRange, slot keyspace.Slot) bool {
--- /dev/null
+++ b/router/dispatch/metrics.go
@@ -0,0 +1,158 @@
+package dispatch
+
+import (
+	"errors"
+	"expvar"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"bronzewind.example/core/code"
+	"bronzewind.example/core/config"
+)
+
+const (
+	maxWaitMillis = 10 * 60 * 1000
+	waitDigits    = 2 // significant digits of a wait
+)
+
+type (
+	// metrics counts what the dispatchers of one instance do.
+	metrics struct {
+		ranks   [config.RankCount]rankMetrics
+		refused *expvar.Map // by name of the result code
+		retried expvar.Int  // tries after one that did not run
+	}
+
+	// rankMetrics counts the work of one rank.
+	rankMetrics struct {
+		startedCount   expvar.Int
+		answeredCount  expvar.Int
+		onTarget       expvar.Int // answered within the target of their kind
+		refusedCount   expvar.Int
+		serviceMicros  expvar.Int // slot time of answered requests
+		worthMilliunit expvar.Int // worth of requests answered within target, in thousandths
+		waits          waitHistogram
+	}
+
+	// waitHistogram shows the waits in the queue in milliseconds.
+	waitHistogram struct {
+		mu sync.Mutex
+		h  *hdrhistogram.Histogram // guarded by mu
+	}
+)
+
+func newMetrics() *metrics {
+	m := &metrics{refused: new(expvar.Map).Init()}
+	for i := range m.ranks {
+		m.ranks[i].waits.h = hdrhistogram.New(1, maxWaitMillis, waitDigits)
+	}
+	return m
+}
+
+// started counts the start of j.
+func (m *metrics) started(j *job, now time.Time) {
+	r := &m.ranks[j.kind.config.Rank]
+	r.startedCount.Add(1)
+	r.waits.record(now.Sub(j.queuedAt))
+}
+
+// finished counts an answered job.
+func (m *metrics) finished(j *job, now time.Time) {
+	r := &m.ranks[j.kind.config.Rank]
+	r.answeredCount.Add(1)
+	r.serviceMicros.Add(now.Sub(j.started).Microseconds())
+	if !now.After(targetAt(j.request, j.kind.config)) {
+		r.onTarget.Add(1)
+		r.worthMilliunit.Add(int64(j.kind.config.Worth * 1000))
+	}
+}
+
+// failed counts a request that got no answer.
+func (m *metrics) failed(r *Request, err error) {
+	m.ranks[r.Kind.Rank].refusedCount.Add(1)
+	var e *code.Error
+	if errors.As(err, &e) {
+		m.refused.Add(e.Code.String(), 1)
+	}
+}
+
+func (w *waitHistogram) record(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_ = w.h.RecordValue(min(d.Milliseconds(), maxWaitMillis))
+}
+
+// String implements expvar.Var.
+func (w *waitHistogram) String() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at := func(q float64) string { return strconv.FormatInt(w.h.ValueAtQuantile(q), 10) }
+	return `{"p50": ` + at(50) + `, "p99": ` + at(99) + `, "max": ` + strconv.FormatInt(w.h.Max(), 10) + `}`
+}
+
+// Metrics returns the counters of all dispatchers of s.
+func (s *Set) Metrics() *expvar.Map {
+	m := new(expvar.Map).Init()
+	for i, name := range []string{"urgent", "normal", "bulk"} {
+		m.Set(name, s.rankMap(i))
+	}
+	m.Set("refused-by-code", s.metrics.refused)
+	m.Set("tries-again", &s.metrics.retried)
+	m.Set("dispatchers", expvar.Func(func() any { return len(s.all()) }))
+	m.Set("open-slots", expvar.Func(func() any { return s.sum((*Dispatcher).openSlots) }))
+	return m
+}
+
+func (s *Set) rankMap(rank int) *expvar.Map {
+	r := &s.metrics.ranks[rank]
+	m := new(expvar.Map).Init()
+	m.Set("started", &r.startedCount)
+	m.Set("answered", &r.answeredCount)
+	m.Set("answered-within-target", &r.onTarget)
+	m.Set("refused", &r.refusedCount)
+	m.Set("slot-time-us", &r.serviceMicros)
+	m.Set("worth-served-thousandths", &r.worthMilliunit)
+	m.Set("queue-wait-ms", &r.waits)
+	m.Set("queued", expvar.Func(func() any {
+		return s.sum(func(d *Dispatcher) int { queued, _ := d.load(config.Rank(rank)); return queued })
+	}))
+	m.Set("running", expvar.Func(func() any {
+		return s.sum(func(d *Dispatcher) int { _, running := d.load(config.Rank(rank)); return running })
+	}))
+	return m
+}
+
+func (s *Set) sum(f func(*Dispatcher) int) int {
+	n := 0
+	for _, d := range s.all() {
+		n += f(d)
+	}
+	return n
+}
+
+// load returns what of a rank is queued and what runs.
+func (d *Dispatcher) load(rank config.Rank) (queued, running int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, k := range d.queue.kinds {
+		if k.config.Rank == rank {
+			queued += k.queued
+			running += k.running
+		}
+	}
+	return queued, running
+}
+
+// openSlots returns how many requests may run at once at present.
+func (d *Dispatcher) openSlots() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.set.clock.Now()
+	if !now.Before(d.until) {
+		return 0
+	}
+	return min(d.limiter.slots(now), d.ramp.slots(d.service.Config.ServerSlots, now))
+}
--- a/router/dispatch/send.go
+++ b/router/dispatch/send.go
@@ -38,6 +38,7 @@
 		end()
 		return nil, err
 	}
+	d.judge(j, resp)
 	return &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		Body: &answerBody{ReadCloser: resp.Body, end: end},
--- a/router/dispatch/set.go
+++ b/router/dispatch/set.go
@@ -11,6 +11,7 @@
 
 	"bronzewind.example/core/clock"
 	"bronzewind.example/core/code"
+	"bronzewind.example/core/config"
 	"bronzewind.example/core/control"
 	"bronzewind.example/core/record"
 	"bronzewind.example/core/route"
@@ -26,10 +27,12 @@
 		transport http.RoundTripper // nil means one transport for each backend server
 		drained   func(control.SlotsDrained)
 
+		metrics *metrics
+
 		table atomic.Pointer[route.Table]
 
-		mu      sync.Mutex
-		servers map[serverKey]*Dispatcher // guarded by mu
+		mu      sync.Mutex                                // held to change servers
+		servers atomic.Pointer[map[serverKey]*Dispatcher] // the map is immutable
 	}
 
 	// Option changes a Set at its construction.
@@ -58,8 +61,9 @@
 		clock:   clock.System{},
 		tracer:  noop.NewTracerProvider().Tracer(""),
 		drained: func(control.SlotsDrained) {},
-		servers: map[serverKey]*Dispatcher{},
+		metrics: newMetrics(),
 	}
+	s.servers.Store(&map[serverKey]*Dispatcher{})
 	for _, o := range options {
 		o(s)
 	}
@@ -71,38 +75,36 @@
 	s.table.Store(t)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	wanted := map[serverKey]bool{}
+	old, servers := s.all(), map[serverKey]*Dispatcher{}
 	for i := range t.Configuration.Services {
-		v, ok := t.Service(t.Configuration.Services[i].Name)
-		if !ok {
-			continue
-		}
-		servers := v.Servers()
-		for j := range servers {
-			if servers[j].Dispatcher != s.self {
-				continue
-			}
-			key := serverKey{service: v.Config.Name, server: servers[j].Name}
-			wanted[key] = true
-			s.update(key, v, &servers[j])
+		if v, ok := t.Service(t.Configuration.Services[i].Name); ok {
+			s.addService(servers, old, v, t.Configuration.Callers)
 		}
 	}
-	for key, d := range s.servers {
-		if !wanted[key] {
-			delete(s.servers, key)
+	s.servers.Store(&servers)
+	for key, d := range old {
+		if servers[key] == nil {
 			d.close()
 		}
 	}
 }
 
-// update creates the dispatcher of key or gives it the new snapshot; s.mu is held.
-func (s *Set) update(key serverKey, v *route.Service, server *route.Server) {
-	d, ok := s.servers[key]
-	if !ok {
-		d = newDispatcher(s, v, server)
-		s.servers[key] = d
+// addService adds the dispatchers of v that are this instance's, with the new
+// snapshot: those of old where there are any. s.mu is held.
+func (s *Set) addService(servers, old map[serverKey]*Dispatcher, v *route.Service, callers []config.Caller) {
+	rows := v.Servers()
+	for i := range rows {
+		if rows[i].Dispatcher != s.self {
+			continue
+		}
+		key := serverKey{service: v.Config.Name, server: rows[i].Name}
+		d, ok := old[key]
+		if !ok {
+			d = newDispatcher(s, v, &rows[i], callers)
+		}
+		d.setRoute(v, &rows[i], callers)
+		servers[key] = d
 	}
-	d.setRoute(v, server)
 }
 
 // Authorize passes a grant on to the dispatcher that it is for.
@@ -126,12 +128,17 @@
 	if !ok {
 		return nil, code.NewError(code.StaleRoute, "this instance does not dispatch to "+r.Server)
 	}
-	return d.do(ctx, r)
+	answer, err := d.do(ctx, r)
+	if err != nil {
+		s.metrics.failed(r, err)
+	}
+	return answer, err
 }
 
 func (s *Set) dispatcher(service, server string) (*Dispatcher, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	d, ok := s.servers[serverKey{service: service, server: server}]
+	d, ok := s.all()[serverKey{service: service, server: server}]
 	return d, ok
 }
+
+// all returns the dispatchers; the map is not to be changed.
+func (s *Set) all() map[serverKey]*Dispatcher { return *s.servers.Load() }
