--- a/router/dispatch/send.go
+++ b/router/dispatch/send.go
@@ -37,6 +37,7 @@
 		end()
 		return nil, err
 	}
+	d.judge(j, resp)
 	answer, err := newAnswer(resp, end)
 	return answer, timedOut(ctx, err)
 }
