--- a/core/config/config.go
+++ b/core/config/config.go
@@ -86,6 +86,7 @@
 		ChecksGrants   bool     `yaml:"checks-grants"`   // refuses work without a valid grant
 		TrustsRefusals bool     `yaml:"trusts-refusals"` // a marked refusal surely did not run
 		ColdStart      Duration `yaml:"cold-start"`      // ramp of a new backend server
+		QueueLimit     int      `yaml:"queue-limit"`     // most requests queued at one dispatcher; 0 means the sum over the kinds
 		Balance        Balance  `yaml:"balance,omitempty"`
 		Kinds          []Kind   `yaml:"kinds"` // at least one
 	}
@@ -94,8 +95,8 @@
 	// fast ownership may change to mend that.
 	Balance struct {
 		Bound  float64 `yaml:"bound,omitempty"`  // largest share over or under the mean utilisation; 0 means 0.2
-		Settle float64 `yaml:"settle,omitempty"` // share that moves go on to; below Bound; 0 means a quarter of Bound
-		Moves  int     `yaml:"moves,omitempty"`  // most slots and keys moved in 10 s; 0 means a 32nd of the slots
+		Settle float64 `yaml:"settle,omitempty"` // share that moves go on to; at most Bound; 0 means a quarter of Bound
+		Moves  int     `yaml:"moves,omitempty"`  // most slots and keys moved in 10 s; 0 means a 16th of the slots
 	}
 
 	// Key says where the key stands.
--- a/router/dispatch/load.go
+++ b/router/dispatch/load.go
@@ -137,14 +137,8 @@
 // Loads returns the measured load of every backend server that this instance
 // dispatches to.
 func (s *Set) Loads() []control.LoadMeasured {
-	s.mu.Lock()
-	dispatchers := make([]*Dispatcher, 0, len(s.servers))
-	for _, d := range s.servers {
-		dispatchers = append(dispatchers, d)
-	}
-	s.mu.Unlock()
-	out := make([]control.LoadMeasured, 0, len(dispatchers))
-	for _, d := range dispatchers {
+	var out []control.LoadMeasured
+	for _, d := range *s.servers.Load() {
 		out = append(out, control.LoadMeasured{Load: d.measure()})
 	}
 	return out
@@ -153,5 +147,5 @@
 func (d *Dispatcher) measure() control.LoadReported {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.load.report(d.set.clock.Now(), d.server.Service, d.server.Name)
+	return d.meter.report(d.set.clock.Now(), d.server.Service, d.server.Name)
 }
--- a/router/dispatch/ownership.go
+++ b/router/dispatch/ownership.go
@@ -17,22 +17,28 @@
 	heldSlots []record.SlotRange
 	heldKeys  []keyspace.Hash
 	number    uint64 // of the hold
+	drained   bool   // it was reported that nothing held has work in flight
 }
 
 // authorize takes an accepted grant.
 func (o *ownership) authorize(a control.Authorize, slots int) {
-	o.granted = make([]bool, slots)
+	if len(o.granted) != slots {
+		o.granted = make([]bool, slots)
+	}
+	clear(o.granted)
 	for _, r := range a.Granted {
-		for i := r.First; i <= r.Last; i++ {
+		for i := int(r.First); i <= int(r.Last) && i < slots; i++ {
 			o.granted[i] = true
 		}
 	}
 	o.keys, o.except = setOf(a.Keys), setOf(a.Except)
-	o.heldSlots, o.heldKeys = a.Held, a.HeldKeys
+	if !slices.Equal(o.heldSlots, a.Held) || !slices.Equal(o.heldKeys, a.HeldKeys) {
+		o.heldSlots, o.heldKeys, o.drained = a.Held, a.HeldKeys, false
+	}
 }
 
 func (o *ownership) hold(h control.HoldSlots) {
-	o.heldSlots, o.heldKeys, o.number = h.Ranges, h.Keys, h.Hold
+	o.heldSlots, o.heldKeys, o.number, o.drained = h.Ranges, h.Keys, h.Hold, false
 }
 
 func (o *ownership) holding() bool { return len(o.heldSlots)+len(o.heldKeys) > 0 }
