--- a/core/config/config.go
+++ b/core/config/config.go
@@ -79,12 +79,12 @@
 		Key            Key      `yaml:"key"`
 		Slots          int      `yaml:"slots"` // of the key space; a power of two
 		ServerSlots    int      `yaml:"server-slots"`
-		Connections    int      `yaml:"connections"`     // per backend server
-		ChecksGrants   bool     `yaml:"checks-grants"`   // refuses work without a valid grant
-		TrustsRefusals bool     `yaml:"trusts-refusals"` // a marked refusal surely did not run
-		ColdStart      Duration `yaml:"cold-start"`      // ramp of a new backend server
-		QueueLimit     int      `yaml:"queue-limit"`     // most requests queued at one dispatcher; 0 means the sum over the kinds
-		Kinds          []Kind   `yaml:"kinds"`           // at least one
+		Connections    int      `yaml:"connections"`           // per backend server
+		ChecksGrants   bool     `yaml:"checks-grants"`         // refuses work without a valid grant
+		TrustsRefusals bool     `yaml:"trusts-refusals"`       // a marked refusal surely did not run
+		ColdStart      Duration `yaml:"cold-start"`            // ramp of a new backend server
+		QueueLimit     int      `yaml:"queue-limit,omitempty"` // most requests queued at one dispatcher; 0 means the sum over the kinds
+		Kinds          []Kind   `yaml:"kinds"`                 // at least one
 	}
 
 	// Key says where the key stands.
--- a/router/daemon/daemon.go
+++ b/router/daemon/daemon.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -98,10 +99,19 @@
 	d.dispatch = dispatch.NewSet(self,
 		dispatch.WithTracer(tracing.tracer),
 		dispatch.WithDrained(func(e control.SlotsDrained) { d.events <- e }))
+	publish("dispatch", d.dispatch.Metrics())
 	d.entry = caller.NewServer(self, d.dispatch, d.client, d.log, caller.WithTracer(tracing.tracer))
 	return d, nil
 }
 
+// publish shows the counters of a subsystem under name; of several instances in
+// one process the first is shown.
+func publish(name string, v expvar.Var) {
+	if expvar.Get(name) == nil {
+		expvar.Publish(name, v)
+	}
+}
+
 // Run serves until ctx ends, then lets running requests finish.
 func (d *Daemon) Run(ctx context.Context) error {
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
