--- a/router/dispatch/dispatcher.go
+++ b/router/dispatch/dispatcher.go
@@ -46,12 +46,7 @@
 func newDispatcher(s *Set, v *route.Service, server *route.Server, callers []config.Caller) *Dispatcher {
 	t := s.transport
 	if t == nil {
-		t = &http.Transport{
-			MaxConnsPerHost:     v.Config.Connections,
-			MaxIdleConnsPerHost: v.Config.Connections,
-			IdleConnTimeout:     time.Minute,
-			DisableCompression:  true,
-		}
+		t = newTransport(v.Config.Connections)
 	}
 	d := &Dispatcher{
 		set: s, transport: t, service: v, server: server,
@@ -143,6 +138,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.closed = true
+	if t, ok := d.transport.(*http.Transport); ok {
+		defer t.CloseIdleConnections()
+	}
 	d.turnAway("another instance dispatches to the backend server now", func(*job) bool { return true })
 }
 
--- a/router/dispatch/set.go
+++ b/router/dispatch/set.go
@@ -135,6 +135,17 @@
 	return answer, err
 }
 
+// Close ends all dispatchers; queued requests are answered that they did not run.
+func (s *Set) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.all()
+	s.servers.Store(&map[serverKey]*Dispatcher{})
+	for _, d := range old {
+		d.close()
+	}
+}
+
 func (s *Set) dispatcher(service, server string) (*Dispatcher, bool) {
 	d, ok := s.all()[serverKey{service: service, server: server}]
 	return d, ok
