Leave less urgent work out of a caller kind's cap

Cause: a caller kind that filled its cap with bulk work had its urgent work refused, so a rank felt the rank below it.

Change: the cap counts the work queued of the request's rank and above, by rank.

Shown by TestQueueAdmission, "caller at its cap of less urgent work".

Conclusion: a flood of bulk work costs its callers no urgent request.

--- a/router/dispatch/admission.go
+++ b/router/dispatch/admission.go
@@ -5,13 +5,14 @@
 	"time"
 
 	"bronzewind.example/core/code"
+	"bronzewind.example/core/config"
 )
 
 // admit checks whether j may join the queue. It returns the job that has to
 // leave for it, or why j is refused.
 func (q *queue) admit(j *job, now time.Time) (*job, *code.Error) {
 	k := j.kind
-	if limit, ok := q.caps[j.request.Caller]; ok && q.callers[j.request.Caller] >= limit {
+	if q.atCap(j) {
 		return nil, code.NewError(code.CallerCapReached, "callers of kind "+j.request.Caller+" have too much work queued")
 	}
 	if now.Add(q.wait(k)).After(j.startBy) {
@@ -33,6 +34,35 @@
 	return nil, nil
 }
 
+// atCap reports whether the caller kind of j has as much work queued as it may
+// have, leaving out what is less urgent than j.
+func (q *queue) atCap(j *job) bool {
+	count, ok := q.callers[j.request.Caller]
+	if !ok {
+		return false
+	}
+	sum := 0
+	for _, n := range count[:j.kind.config.Rank+1] {
+		sum += n
+	}
+	return sum >= q.caps[j.request.Caller]
+}
+
+// countCallers counts the queued work of the caller kinds that have a cap.
+func (q *queue) countCallers() {
+	q.callers = make(map[string]*[config.RankCount]int, len(q.caps))
+	for name := range q.caps {
+		q.callers[name] = new([config.RankCount]int)
+	}
+	q.each(func(j *job) { q.countCaller(j, 1) })
+}
+
+func (q *queue) countCaller(j *job, n int) {
+	if count, ok := q.callers[j.request.Caller]; ok {
+		count[j.kind.config.Rank] += n
+	}
+}
+
 // wait returns the least time until a new request of k starts: the queued work
 // that goes before it over all slots, or over the floor of k if that is sooner.
 func (q *queue) wait(k *kindQueue) time.Duration {
--- a/router/dispatch/queue.go
+++ b/router/dispatch/queue.go
@@ -19,9 +19,9 @@
 	queue struct {
 		kinds    []*kindQueue // few; each name once
 		caps     map[string]int
-		callers  map[string]int // queued by kind of caller, for those with a cap
-		slots    int            // of the server; at least 1
-		capacity int            // that may run at present; at most slots
+		callers  map[string]*[config.RankCount]int // queued by kind of caller and rank, for those with a cap
+		slots    int                               // of the server; at least 1
+		capacity int                               // that may run at present; at most slots
 		running  int
 		queued   int // parked work included
 		limit    int // of queued
@@ -65,7 +65,7 @@
 )
 
 func newQueue(c *config.Service, callers []config.Caller) *queue {
-	q := &queue{bySlot: map[keyspace.Slot]map[*job]struct{}{}, callers: map[string]int{}}
+	q := &queue{bySlot: map[keyspace.Slot]map[*job]struct{}{}, callers: map[string]*[config.RankCount]int{}}
 	q.configure(c, callers)
 	q.capacity = q.slots
 	return q
@@ -82,6 +82,7 @@
 			q.caps[v.Name] = v.Cap
 		}
 	}
+	q.countCallers()
 	sum := 0
 	for i := range c.Kinds {
 		q.kind(&c.Kinds[i]).config = &c.Kinds[i]
@@ -137,9 +138,7 @@
 func (q *queue) insert(j *job, now time.Time) {
 	q.queued++
 	j.kind.queued++
-	if _, ok := q.caps[j.request.Caller]; ok {
-		q.callers[j.request.Caller]++
-	}
+	q.countCaller(j, 1)
 	q.enter(j, now)
 }
 
@@ -222,11 +221,7 @@
 	q.queued--
 	j.kind.queued--
 	j.kind.settle()
-	if _, ok := q.callers[j.request.Caller]; ok {
-		if q.callers[j.request.Caller]--; q.callers[j.request.Caller] <= 0 {
-			delete(q.callers, j.request.Caller)
-		}
-	}
+	q.countCaller(j, -1)
 }
 
 // expire takes out the jobs that can't meet their deadline any more.
