--- a/router/caller/fleet_test.go
+++ b/router/caller/fleet_test.go
@@ -39,7 +39,7 @@
 type (
 	// fleet is an entry and a dispatcher in front of one fake backend server.
 	fleet struct {
-		t        *testing.T
+		t        testing.TB
 		url      string
 		address  string // of the entry
 		entry    *caller.Server
@@ -52,8 +52,10 @@
 	fleetOptions struct {
 		local   bool // entry and dispatcher are one instance
 		trusted bool
-		down    bool // nothing listens at the backend server's address
-		noHop   bool // nothing listens at the dispatcher's address
+		down    bool   // nothing listens at the backend server's address
+		noHop   bool   // nothing listens at the dispatcher's address
+		direct  bool   // no relay stands between entry and dispatcher
+		address string // of the backend server; "" is the fake one's
 		patient time.Duration
 		body    time.Duration // body idle timeout
 		script  func(c net.Conn, r *http.Request)
@@ -109,7 +111,7 @@
 }
 
 // newTable folds the records of a fleet of two instances and one backend server.
-func newTable(t *testing.T, c config.Configuration, backend, forward string, fingerprint []byte, dispatcher record.Writer) *route.Table {
+func newTable(t testing.TB, c config.Configuration, backend, forward string, fingerprint []byte, dispatcher record.Writer) *route.Table {
 	t.Helper()
 	document, err := c.Encode()
 	if err != nil {
@@ -137,7 +139,7 @@
 }
 
 // newFleet starts a fleet; its parts end with the test.
-func newFleet(t *testing.T, o fleetOptions) *fleet {
+func newFleet(t testing.TB, o fleetOptions) *fleet {
 	t.Helper()
 	if o.patient == 0 {
 		o.patient = 20 * time.Second
@@ -156,10 +158,16 @@
 	forward, self := freeUDP(t), dispatcherWriter
 	relay, lose := newUDPRelay(t, forward)
 	f.loseHop = lose
+	if o.direct {
+		relay = forward
+	}
 	if o.local {
 		self = entryWriter
 	}
-	table := newTable(t, f.document, f.backend.listener.Addr().String(), relay, identity.Fingerprint(), self)
+	if o.address == "" {
+		o.address = f.backend.listener.Addr().String()
+	}
+	table := newTable(t, f.document, o.address, relay, identity.Fingerprint(), self)
 	f.set = dispatch.NewSet(self)
 	t.Cleanup(f.set.Close)
 	f.set.SetTable(table)
@@ -206,7 +214,7 @@
 	})
 }
 
-func freeUDP(t *testing.T) string {
+func freeUDP(t testing.TB) string {
 	t.Helper()
 	c, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
@@ -217,7 +225,7 @@
 }
 
 // newUDPRelay passes datagrams on to address and back, until lose is called.
-func newUDPRelay(t *testing.T, address string) (relay string, lose func()) {
+func newUDPRelay(t testing.TB, address string) (relay string, lose func()) {
 	t.Helper()
 	front, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
@@ -263,7 +271,7 @@
 	return front.LocalAddr().String(), func() { lost.Store(true) }
 }
 
-func newFakeBackend(t *testing.T, script func(net.Conn, *http.Request)) *fakeBackend {
+func newFakeBackend(t testing.TB, script func(net.Conn, *http.Request)) *fakeBackend {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/router/caller/server.go
+++ b/router/caller/server.go
@@ -30,6 +30,8 @@
 	// lengthenedBytes bounds an answer that is read whole to find its length.
 	lengthenedBytes = 1 << 20
 
+	maxCopyBytes = 32 << 10
+
 	// verdictWait is how long past the deadline the entry waits for the
 	// dispatcher's word, which knows whether the request had started.
 	verdictWait = 150 * time.Millisecond
@@ -159,11 +161,20 @@
 	}
 	out := &callerWriter{w: w, control: http.NewResponseController(w), idle: bodyIdle(s.table.Load())}
 	w.WriteHeader(a.Status)
-	if _, err := io.Copy(out, a.Body); err != nil {
+	if _, err := io.CopyBuffer(out, a.Body, make([]byte, copyBytes(a.Length))); err != nil {
 		s.cutOff(err)
 	}
 }
 
+// copyBytes returns the size of a buffer to copy a body of length bytes with;
+// a negative length is not known.
+func copyBytes(length int64) int64 {
+	if length < 0 {
+		return maxCopyBytes
+	}
+	return min(length+1, maxCopyBytes)
+}
+
 // lengthen finds the length of an answer for a caller whose protocol has no
 // chunks, and so no other way to tell a whole answer from one that is cut off.
 func (s *Server) lengthen(a *dispatch.Answer) {
