Start once-only work at most once, across takeovers and losses

Cause: nothing kept a repeat of a once-only request from running again.

Change: a mark is entered at the dispatcher and at two peers, one of them of another failure domain, before the first byte is sent. A dispatcher new to a key asks all members first. Where all copies of a mark may be lost, the answer is mark-lost unless the idempotency key (UUID version 7) was made after the loss. Repeats get the first run's answer up to 4 KB, or its code. Marks are kept ten minutes, 131072 at most, and are handed over before an instance leaves. Once-only work runs on when its caller goes away.

--- a/core/route/table.go
+++ b/core/route/table.go
@@ -17,9 +17,20 @@
 	Table struct {
 		Configuration *config.Configuration // never nil
 		Offset        uint64                // the fold's next offset at the time
+		Members       []Member              // in order of name
+		Departed      uint64                // memberships that ended so far
 		services      map[string]*Service
 	}
 
+	// Member is an instance that the log counts.
+	Member struct {
+		Writer        record.Writer
+		Region        string
+		FailureDomain string
+		Forward       string // QUIC address
+		Fingerprint   []byte
+	}
+
 	// Service is the snapshot of one service.
 	Service struct {
 		Config  *config.Service
@@ -49,7 +60,17 @@
 	if s.Configuration == nil {
 		return nil
 	}
-	t := &Table{Configuration: s.Configuration, Offset: s.Next, services: make(map[string]*Service, len(s.Services))}
+	t := &Table{
+		Configuration: s.Configuration, Offset: s.Next, Departed: s.Departed,
+		services: make(map[string]*Service, len(s.Services)),
+	}
+	for _, name := range s.MemberNames() {
+		m := s.Members[name]
+		t.Members = append(t.Members, Member{
+			Writer: m.Writer, Region: m.Joined.Region, FailureDomain: m.Joined.FailureDomain,
+			Forward: m.Joined.Forward, Fingerprint: m.Joined.Fingerprint,
+		})
+	}
 	for i := range s.Configuration.Services {
 		c := &s.Configuration.Services[i]
 		if v, ok := s.Services[c.Name]; ok {
--- a/core/state/fold.go
+++ b/core/state/fold.go
@@ -27,6 +27,9 @@
 	case record.ConfigurationPublished:
 		return s.publish(b)
 	case record.InstanceJoined:
+		if old, ok := s.Members[r.Writer.Instance]; ok && old.Writer != r.Writer {
+			s.Departed++
+		}
 		s.Members[r.Writer.Instance] = Member{Writer: r.Writer, Joined: b}
 		return Accepted
 	case record.InstanceLeft:
@@ -80,6 +83,7 @@
 		return Stale
 	}
 	delete(s.Members, w.Instance)
+	s.Departed++
 	return Accepted
 }
 
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -49,6 +49,7 @@
 		Configuration *config.Configuration // nil before the first
 		Author        string                // of the configuration in force
 		Members       map[string]Member     // by instance name
+		Departed      uint64                // memberships that ended so far
 		Services      map[string]*Service
 		seen          map[string]struct{} // ids of accepted records
 	}
--- a/router/caller/outcomes_test.go
+++ b/router/caller/outcomes_test.go
@@ -130,7 +130,9 @@
 				if sc.before != nil {
 					sc.before(f)
 				}
-				if diff := gocmp.Diff(want, ask(t, f, sc)); diff != "" {
+				got := ask(t, f, sc)
+				f.backend.close()
+				if diff := gocmp.Diff(want, got); diff != "" {
 					t.Errorf("outcome (-want +got):\n%s", diff)
 				}
 			})
--- a/router/dispatch/dispatcher.go
+++ b/router/dispatch/dispatcher.go
@@ -113,8 +113,16 @@
 	}
 }
 
-// do queues r and sends it once a slot is free.
+// do runs r.
 func (d *Dispatcher) do(ctx context.Context, r *Request) (*Answer, error) {
+	if r.Kind.OnceOnly {
+		return d.doOnce(ctx, r)
+	}
+	return d.enqueueAndSend(ctx, r)
+}
+
+// enqueueAndSend queues r and sends it once a slot is free.
+func (d *Dispatcher) enqueueAndSend(ctx context.Context, r *Request) (*Answer, error) {
 	j, err := d.enqueue(r)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/router/dispatch/replicas.go
@@ -0,0 +1,284 @@
+package dispatch
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bronzewind.example/core/clock"
+	"bronzewind.example/core/code"
+	"bronzewind.example/core/record"
+	"bronzewind.example/core/route"
+)
+
+const (
+	markTimeout    = 250 * time.Millisecond // for one call to a peer
+	markCopies     = 2                      // peers that are sent each mark
+	handOverWidth  = 16                     // marks that are handed over at once
+	maxCallerSkew  = 5 * time.Second        // of a caller's clock against ours
+	forgetAttempts = 3
+	greetInterval  = 500 * time.Millisecond
+)
+
+// The operations of a MarkCall.
+const (
+	// FindMark asks for the mark of a key.
+	FindMark MarkOperation = iota + 1
+	// PutMark asks for a mark to be kept, or for the end of its run to be noted.
+	PutMark
+	// DropMark takes back the mark of a run that did not happen.
+	DropMark
+	// Greet tells and asks what the instances know of departures.
+	Greet
+	// HandedOver says that the caller has given all its marks to others.
+	HandedOver
+)
+
+type (
+	// MarkOperation is what a MarkCall asks for.
+	MarkOperation uint8
+
+	// MarkCall is one call between the mark tables of two instances.
+	MarkCall struct {
+		Operation MarkOperation `cbor:"1,keyasint"`
+		From      record.Writer `cbor:"2,keyasint"`
+		Mark      Mark          `cbor:"3,keyasint"`
+		Word      word          `cbor:"4,keyasint"`
+	}
+
+	// MarkReply answers a MarkCall.
+	MarkReply struct {
+		Found *Mark     `cbor:"1,keyasint,omitempty"` // of the key, when it is of another run
+		Code  code.Code `cbor:"2,keyasint,omitempty"` // why the call was refused
+		Word  word      `cbor:"3,keyasint"`
+	}
+
+	// MarkPeers reaches the mark tables of other instances.
+	MarkPeers interface {
+		CallMark(ctx context.Context, to route.Member, call MarkCall) (MarkReply, error)
+	}
+
+	// replicas keeps copies of this instance's marks at its peers.
+	replicas struct {
+		self    record.Writer
+		clock   clock.Clock
+		peers   MarkPeers // nil when there are none
+		marks   *Marks
+		history *history
+		ends    sync.WaitGroup // calls whose answer nobody waits for
+		stop    chan struct{}  // closed at the end of the instance
+		greeted sync.Once
+	}
+)
+
+// serve answers a call of a peer.
+func (p *replicas) serve(c MarkCall) MarkReply {
+	p.history.hear(c.From, c.Word)
+	reply := MarkReply{Word: p.history.tell()}
+	switch c.Operation {
+	case FindMark:
+		reply.Found = p.marks.find(c.Mark.MarkKey)
+	case PutMark:
+		var err error
+		reply.Found, err = p.marks.put(c.Mark)
+		var e *code.Error
+		if errors.As(err, &e) {
+			reply.Code = e.Code
+		}
+	case DropMark:
+		p.marks.drop(c.Mark)
+	case HandedOver:
+		p.history.handOver(c.From)
+	}
+	return reply
+}
+
+func (p *replicas) call(ctx context.Context, to route.Member, op MarkOperation, m Mark) (MarkReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, markTimeout)
+	defer cancel()
+	reply, err := p.peers.CallMark(ctx, to, MarkCall{Operation: op, From: p.self, Mark: m, Word: p.history.tell()})
+	if err != nil {
+		return reply, err
+	}
+	p.history.hear(to.Writer, reply.Word)
+	if reply.Code != 0 {
+		return reply, code.NewError(reply.Code, "refused by "+to.Writer.Instance)
+	}
+	return reply, nil
+}
+
+// greet hears each member of the first table once, so that its departure later
+// leaves no doubt.
+func (p *replicas) greet() {
+	if p.peers == nil || len(p.history.strangers()) == 0 {
+		return
+	}
+	p.greeted.Do(func() {
+		p.ends.Go(func() {
+			for {
+				to := p.history.strangers()
+				if len(to) == 0 {
+					return
+				}
+				p.callAll(context.Background(), to, Greet, Mark{})
+				timer := p.clock.NewTimer(greetInterval)
+				select {
+				case <-p.stop:
+					timer.Stop()
+					return
+				case <-timer.C:
+				}
+			}
+		})
+	})
+}
+
+// close ends what runs in the background and waits for it.
+func (p *replicas) close() {
+	close(p.stop)
+	p.ends.Wait()
+}
+
+// callAll calls all of to at once and returns the replies and errors in order.
+func (p *replicas) callAll(ctx context.Context, to []route.Member, op MarkOperation, m Mark) ([]MarkReply, []error) {
+	replies, errs := make([]MarkReply, len(to)), make([]error, len(to))
+	var wg sync.WaitGroup
+	for i, member := range to {
+		wg.Go(func() { replies[i], errs[i] = p.call(ctx, member, op, m) })
+	}
+	wg.Wait()
+	return replies, errs
+}
+
+// find asks every other member for the mark of m's key. It returns an error
+// unless all of them answered: a mark may stand at any.
+func (p *replicas) find(ctx context.Context, m Mark) (*Mark, error) {
+	if p.peers == nil {
+		return nil, nil
+	}
+	replies, errs := p.callAll(ctx, p.history.others(), FindMark, m)
+	var found *Mark
+	for _, r := range replies {
+		if r.Found != nil && r.Found.Epoch != m.Epoch && (found == nil || found.Code == 0) {
+			found = r.Found
+		}
+	}
+	if found != nil {
+		return found, nil
+	}
+	if err := errors.Join(errs...); err != nil {
+		return nil, code.NewError(code.MarkNotReplicated, "not all instances said whether they keep a mark: "+err.Error())
+	}
+	return nil, nil
+}
+
+// put places copies of m and returns once an instance of another failure
+// domain keeps one, or any other instance when there is no other domain.
+func (p *replicas) put(ctx context.Context, m Mark) (*Mark, error) {
+	if p.peers == nil {
+		return nil, nil
+	}
+	self := p.history.own()
+	to := keepers(p.history.others(), self, m)
+	apart := len(to) > 0 && to[0].FailureDomain != self.FailureDomain
+	if !apart && !p.history.mayPlaceWeak() {
+		return nil, code.NewError(code.MarkNotReplicated, "no instance of another failure domain is a member")
+	}
+	if len(to) == 0 {
+		return nil, nil
+	}
+	replies, errs := p.callAll(ctx, to, PutMark, m)
+	for i, r := range replies {
+		if r.Found != nil {
+			return r.Found, nil
+		}
+		if errs[i] == nil && (!apart || to[i].FailureDomain != self.FailureDomain) {
+			return nil, nil
+		}
+	}
+	return nil, code.NewError(code.MarkNotReplicated, errors.Join(errs...).Error())
+}
+
+// keepers returns the members that keep copies of m: of other failure domains
+// first, near ones before far ones, and spread by key.
+func keepers(others []route.Member, self route.Member, m Mark) []route.Member {
+	weight := func(o route.Member) uint64 {
+		return xxhash.Sum64String(fmt.Sprintf("%s/%s/%d", o.Writer.Instance, m.Service, m.Hash))
+	}
+	slices.SortFunc(others, func(a, b route.Member) int {
+		return cmp.Or(
+			compareBool(a.FailureDomain != self.FailureDomain, b.FailureDomain != self.FailureDomain),
+			compareBool(a.Region == self.Region, b.Region == self.Region),
+			cmp.Compare(weight(a), weight(b)))
+	})
+	return others[:min(markCopies, len(others))]
+}
+
+// compareBool orders true before false.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// tellEnd sends the end of m's run, or its withdrawal, to the keepers. Nobody
+// waits for it: without it a repeat after a takeover is answered unknown.
+func (p *replicas) tellEnd(op MarkOperation, m Mark) {
+	if p.peers == nil {
+		return
+	}
+	to := keepers(p.history.others(), p.history.own(), m)
+	p.ends.Go(func() {
+		for range forgetAttempts {
+			_, errs := p.callAll(context.Background(), to, op, m)
+			if errors.Join(errs...) == nil {
+				return
+			}
+		}
+	})
+}
+
+// handOver gives all marks to other instances of the own failure domain, or to
+// any, and tells everyone, so that leaving loses none.
+func (p *replicas) handOver(ctx context.Context) error {
+	others, self := p.history.others(), p.history.own()
+	if p.peers == nil || len(others) == 0 {
+		return nil
+	}
+	var near []route.Member
+	for _, o := range others {
+		if o.FailureDomain == self.FailureDomain {
+			near = append(near, o)
+		}
+	}
+	if len(near) == 0 {
+		near = others
+	}
+	marks, width := p.marks.all(), make(chan struct{}, handOverWidth)
+	errs := make([]error, len(marks))
+	var wg sync.WaitGroup
+	for i, m := range marks {
+		width <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-width }()
+			_, errs[i] = p.call(ctx, near[int(uint64(m.Hash)%uint64(len(near)))], PutMark, m)
+		})
+	}
+	wg.Wait()
+	if err := errors.Join(errs...); err != nil {
+		return fmt.Errorf("marks not handed over: %w", err)
+	}
+	_, all := p.callAll(ctx, others, HandedOver, Mark{})
+	return errors.Join(all...)
+}
--- a/router/dispatch/request.go
+++ b/router/dispatch/request.go
@@ -26,6 +26,8 @@
 		Deadline       time.Time
 		Caller         string // kind of caller
 		IdempotencyKey string // never empty for once-only work
+
+		mark *Mark // of the run of once-only work; set by the dispatcher
 	}
 
 	// Answer is the answer of a backend server. Body must be closed; it ends
--- a/router/dispatch/send.go
+++ b/router/dispatch/send.go
@@ -19,8 +19,12 @@
 )
 
 // send runs a started job on the backend server. The slot is freed when the
-// answer's body is closed, or when there is no answer.
+// answer's body is closed, or when there is no answer. Once-only work runs to
+// its end when its caller goes away, so that a repeat learns what became of it.
 func (d *Dispatcher) send(ctx context.Context, j *job) (*Answer, error) {
+	if j.request.mark != nil {
+		ctx = context.WithoutCancel(ctx)
+	}
 	ctx, cancel := context.WithDeadline(ctx, j.request.Deadline)
 	ctx, span := d.set.tracer.Start(ctx, "dispatch", trace.WithAttributes(
 		attribute.String("server", j.request.Server), attribute.Int("slot", int(j.slot))))
@@ -32,6 +36,12 @@
 			d.finish(j)
 		})
 	}
+	if j.request.mark != nil {
+		if err := d.place(ctx, j.request); err != nil {
+			end()
+			return nil, err
+		}
+	}
 	resp, err := d.roundTrip(ctx, j)
 	if err != nil {
 		end()
--- a/router/dispatch/set.go
+++ b/router/dispatch/set.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
@@ -30,12 +31,25 @@
 
 		mu      sync.Mutex
 		servers map[serverKey]*Dispatcher // guarded by mu
+		held    map[epochKey]time.Time    // first once-only work under an epoch; guarded by mu
+
+		runs      atomic.Uint64 // number of the last mark
+		retention time.Duration // of marks
+		peers     MarkPeers
+		marks     *Marks
+		history   *history
+		replicas  *replicas
 	}
 
 	// Option changes a Set at its construction.
 	Option func(*Set)
 
 	serverKey struct{ service, server string }
+
+	epochKey struct {
+		service string
+		epoch   uint64
+	}
 )
 
 // WithClock sets the clock; the default is the system's.
@@ -50,6 +64,14 @@
 // WithDrained sets what is called when held slots have no work in flight.
 func WithDrained(f func(control.SlotsDrained)) Option { return func(s *Set) { s.drained = f } }
 
+// WithMarkPeers sets how the mark tables of other instances are reached; the
+// default keeps marks on this instance alone.
+func WithMarkPeers(p MarkPeers) Option { return func(s *Set) { s.peers = p } }
+
+// WithMarkRetention sets how long start marks are kept; the default is ten
+// minutes.
+func WithMarkRetention(d time.Duration) Option { return func(s *Set) { s.retention = d } }
+
 // NewSet returns the dispatchers of the instance self; it has none until
 // SetTable names some.
 func NewSet(self record.Writer, options ...Option) *Set {
@@ -59,16 +81,22 @@
 		tracer:  noop.NewTracerProvider().Tracer(""),
 		drained: func(control.SlotsDrained) {},
 		servers: map[serverKey]*Dispatcher{},
+		held:    map[epochKey]time.Time{}, retention: defaultMarkRetention,
 	}
 	for _, o := range options {
 		o(s)
 	}
+	s.marks = newMarks(s.clock, s.retention, maxMarks)
+	s.history = newHistory(self, s.clock, s.retention)
+	s.replicas = &replicas{self: self, clock: s.clock, peers: s.peers, marks: s.marks, history: s.history, stop: make(chan struct{})}
 	return s
 }
 
 // SetTable starts and stops dispatchers after the new snapshot.
 func (s *Set) SetTable(t *route.Table) {
 	s.table.Store(t)
+	s.history.setTable(t)
+	s.replicas.greet()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	wanted := map[serverKey]bool{}
@@ -129,6 +157,12 @@
 	return d.do(ctx, r)
 }
 
+// ServeMark answers a call of another instance's mark table.
+func (s *Set) ServeMark(c MarkCall) MarkReply { return s.replicas.serve(c) }
+
+// HandOver gives the start marks to other instances before this one leaves.
+func (s *Set) HandOver(ctx context.Context) error { return s.replicas.handOver(ctx) }
+
 // Close ends all dispatchers; queued requests are answered that they did not run.
 func (s *Set) Close() {
 	s.mu.Lock()
@@ -137,6 +171,7 @@
 		delete(s.servers, key)
 		d.close()
 	}
+	s.replicas.close()
 }
 
 func (s *Set) dispatcher(service, server string) (*Dispatcher, bool) {
--- a/router/peer/client.go
+++ b/router/peer/client.go
@@ -32,13 +32,16 @@
 		identity *Identity
 
 		mu    sync.Mutex
-		conns map[string]*quic.Conn // by fingerprint; guarded by mu
+		conns map[endpoint]*quic.Conn // guarded by mu
 	}
 )
 
+// endpoint is one run of another instance.
+type endpoint struct{ forward, fingerprint string }
+
 // NewClient returns a client that shows identity to its peers.
 func NewClient(identity *Identity) *Client {
-	return &Client{identity: identity, conns: map[string]*quic.Conn{}}
+	return &Client{identity: identity, conns: map[endpoint]*quic.Conn{}}
 }
 
 func quicConfig() *quic.Config {
@@ -57,19 +60,14 @@
 	for _, conn := range c.conns {
 		_ = conn.CloseWithError(0, "closing")
 	}
-	c.conns = map[string]*quic.Conn{}
+	c.conns = map[endpoint]*quic.Conn{}
 }
 
 // Do forwards r to the instance that dispatches to server. Errors are
 // *code.Error; what was never sent is said not to have run.
 func (c *Client) Do(ctx context.Context, server *route.Server, r *dispatch.Request) (*dispatch.Answer, error) {
-	conn, err := c.conn(ctx, server)
-	if err != nil {
-		return nil, code.NewError(code.DispatcherBusy, err.Error())
-	}
-	stream, err := conn.OpenStreamSync(ctx)
+	stream, err := c.open(ctx, endpoint{forward: server.Forward, fingerprint: string(server.Fingerprint)}, requestStream)
 	if err != nil {
-		c.forget(server, conn)
 		return nil, code.NewError(code.DispatcherBusy, err.Error())
 	}
 	return exchange(ctx, stream, r)
@@ -168,38 +166,56 @@
 	}
 }
 
-func (c *Client) conn(ctx context.Context, server *route.Server) (*quic.Conn, error) {
-	if server.Forward == "" {
-		return nil, errors.New("the dispatcher is not a member")
+// open returns a fresh stream of kind k to e. The kind is written with the
+// first frame, so that after an error nothing was sent.
+func (c *Client) open(ctx context.Context, e endpoint, k streamKind) (*quic.Stream, error) {
+	conn, err := c.conn(ctx, e)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		c.forget(e, conn)
+		return nil, err
+	}
+	if _, err := stream.Write([]byte{byte(k)}); err != nil {
+		abort(stream)
+		return nil, err
+	}
+	return stream, nil
+}
+
+func (c *Client) conn(ctx context.Context, e endpoint) (*quic.Conn, error) {
+	if e.forward == "" {
+		return nil, errors.New("the instance is not a member")
 	}
-	id := string(server.Fingerprint)
 	c.mu.Lock()
-	conn, ok := c.conns[id]
+	conn, ok := c.conns[e]
 	c.mu.Unlock()
 	if ok && conn.Context().Err() == nil {
 		return conn, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := quic.DialAddr(ctx, server.Forward, c.identity.tlsConfig(only(server.Fingerprint)), quicConfig())
+	conn, err := quic.DialAddr(ctx, e.forward, c.identity.tlsConfig(only([]byte(e.fingerprint))), quicConfig())
 	if err != nil {
 		return nil, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if other, ok := c.conns[id]; ok && other.Context().Err() == nil {
+	if other, ok := c.conns[e]; ok && other.Context().Err() == nil {
 		_ = conn.CloseWithError(0, "second connection")
 		return other, nil
 	}
-	c.conns[id] = conn
+	c.conns[e] = conn
 	return conn, nil
 }
 
-func (c *Client) forget(server *route.Server, conn *quic.Conn) {
+func (c *Client) forget(e endpoint, conn *quic.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conns[string(server.Fingerprint)] == conn {
-		delete(c.conns, string(server.Fingerprint))
+	if c.conns[e] == conn {
+		delete(c.conns, e)
 	}
 	_ = conn.CloseWithError(0, "failed")
 }
--- a/router/peer/frame.go
+++ b/router/peer/frame.go
@@ -14,7 +14,15 @@
 
 const maxFrameBytes = 1 << 20
 
+// The kinds of streams, told by their first byte.
+const (
+	requestStream streamKind = iota + 1
+	markStream
+)
+
 type (
+	streamKind byte
+
 	// requestHead opens a stream; a body that is not inline follows once the
 	// dispatcher asks for it.
 	requestHead struct {
--- a/router/peer/server.go
+++ b/router/peer/server.go
@@ -82,6 +82,23 @@
 }
 
 func (s *Server) serveStream(ctx context.Context, stream *quic.Stream) {
+	var first [1]byte
+	if _, err := io.ReadFull(stream, first[:]); err != nil {
+		abort(stream)
+		return
+	}
+	marks, keepsMarks := s.doer.(MarkServer)
+	switch kind := streamKind(first[0]); {
+	case kind == requestStream:
+		s.serveRequest(ctx, stream)
+	case kind == markStream && keepsMarks:
+		serveMark(marks, stream, s.log)
+	default:
+		abort(stream)
+	}
+}
+
+func (s *Server) serveRequest(ctx context.Context, stream *quic.Stream) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer stream.CancelRead(streamFailed)
