Quarantine a request that crashes backend servers

Cause: a request that kills each backend server that runs it was sent again and again, and took all that ran beside it along.

Change: what was in flight when a connection broke and the server then refuses connections, or comes back as a new run, is suspect and told to all instances. A suspect runs alone; one whose server dies then is not run again, and is quarantined for an hour by a record of the log (kinds 30 and 31), which an operator can release. A server that goes on for a second clears its suspects.

--- a/core/control/control.go
+++ b/core/control/control.go
@@ -55,6 +55,10 @@
 		Ranges          []record.SlotRange
 	}
 
+	// CrashFound asks for a request that crashed backend servers to be
+	// quarantined.
+	CrashFound struct{ Quarantine record.Quarantined }
+
 	// MessageReceived brings a control message of another instance.
 	MessageReceived struct {
 		From    record.Writer
@@ -132,6 +136,7 @@
 func (ServersListed) event()   {}
 func (GrantAnswered) event()   {}
 func (SlotsDrained) event()    {}
+func (CrashFound) event()      {}
 func (MessageReceived) event() {}
 func (Ticked) event()          {}
 
@@ -166,6 +171,8 @@
 		out = c.grantAnswered(e, now)
 	case SlotsDrained:
 		out = c.drained(e, now)
+	case CrashFound:
+		out = c.propose(fmt.Sprintf("quarantine/%s/%d", e.Quarantine.Service, e.Quarantine.Fingerprint), e.Quarantine, now)
 	case MessageReceived:
 		out = c.received(e, now)
 	case Ticked:
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -93,6 +93,19 @@
 		Servers []ServerRow `cbor:"4,keyasint"`
 	}
 
+	// Quarantined stops a request that crashed backend servers.
+	Quarantined struct {
+		Service     string `cbor:"1,keyasint"`
+		Fingerprint uint64 `cbor:"2,keyasint"` // of method, target and small body
+		UntilMillis int64  `cbor:"3,keyasint"` // Unix time; then the request may run again
+	}
+
+	// QuarantineReleased ends a quarantine early, at an operator's wish.
+	QuarantineReleased struct {
+		Service     string `cbor:"1,keyasint"`
+		Fingerprint uint64 `cbor:"2,keyasint"`
+	}
+
 	// SlotRange is slots First to Last, both included.
 	SlotRange struct {
 		First  keyspace.Slot `cbor:"1,keyasint"`
@@ -129,6 +142,9 @@
 	kindSlotsAssigned
 	kindSlotsReleased
 	kindServerReported
+
+	kindQuarantined        uint = 30
+	kindQuarantineReleased uint = 31
 )
 
 func (ConfigurationPublished) kind() uint { return kindConfigurationPublished }
@@ -141,6 +157,9 @@
 func (SlotsReleased) kind() uint          { return kindSlotsReleased }
 func (ServerReported) kind() uint         { return kindServerReported }
 
+func (Quarantined) kind() uint        { return kindQuarantined }
+func (QuarantineReleased) kind() uint { return kindQuarantineReleased }
+
 // String returns instance and incarnation.
 func (w Writer) String() string { return fmt.Sprintf("%s#%d", w.Instance, w.Incarnation) }
 
@@ -200,6 +219,10 @@
 		r.Body, err = decodeBody[SlotsReleased](e.Body)
 	case kindServerReported:
 		r.Body, err = decodeBody[ServerReported](e.Body)
+	case kindQuarantined:
+		r.Body, err = decodeBody[Quarantined](e.Body)
+	case kindQuarantineReleased:
+		r.Body, err = decodeBody[QuarantineReleased](e.Body)
 	default:
 		return Record{}, &UnknownKindError{ID: e.ID, Kind: e.Kind}
 	}
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -19,6 +19,7 @@
 		Offset        uint64                // the fold's next offset at the time
 		Members       []Member              // in order of name
 		Departed      uint64                // memberships that ended so far
+		Quarantine    []record.Quarantined  // not to be changed
 		services      map[string]*Service
 	}
 
@@ -61,7 +62,7 @@
 		return nil
 	}
 	t := &Table{
-		Configuration: s.Configuration, Offset: s.Next, Departed: s.Departed,
+		Configuration: s.Configuration, Offset: s.Next, Departed: s.Departed, Quarantine: s.Quarantine,
 		services: make(map[string]*Service, len(s.Services)),
 	}
 	for _, name := range s.MemberNames() {
--- a/core/state/fold.go
+++ b/core/state/fold.go
@@ -46,6 +46,10 @@
 		return s.release(r.Writer, b)
 	case record.ServerReported:
 		return s.report(r.Writer, b)
+	case record.Quarantined:
+		return s.quarantine(r.Writer, b)
+	case record.QuarantineReleased:
+		return s.releaseQuarantine(b)
 	default:
 		return Invalid
 	}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -50,6 +50,7 @@
 		Author        string                // of the configuration in force
 		Members       map[string]Member     // by instance name
 		Departed      uint64                // memberships that ended so far
+		Quarantine    []record.Quarantined  // in order; at most maxQuarantine
 		Services      map[string]*Service
 		seen          map[string]struct{} // ids of accepted records
 	}
--- a/router/daemon/daemon.go
+++ b/router/daemon/daemon.go
@@ -98,6 +98,7 @@
 	d.dispatch = dispatch.NewSet(self,
 		dispatch.WithTracer(tracing.tracer),
 		dispatch.WithMarkPeers(d.client),
+		dispatch.WithQuarantine(func(q record.Quarantined) { go func() { d.events <- control.CrashFound{Quarantine: q} }() }),
 		dispatch.WithDrained(func(e control.SlotsDrained) { d.events <- e }))
 	d.entry = caller.NewServer(self, d.dispatch, d.client, d.log, caller.WithTracer(tracing.tracer))
 	return d, nil
--- a/router/dispatch/answer.go
+++ b/router/dispatch/answer.go
@@ -16,9 +16,10 @@
 type (
 	// answerBody ends the job when it is closed.
 	answerBody struct {
-		io.Reader
+		source io.Reader
 		closer io.Closer
-		end    func()
+		end    func(broke bool)
+		broke  bool // the connection broke before the answer was whole
 	}
 
 	// wholeReader fails with io.ErrUnexpectedEOF when its source ends before
@@ -53,10 +54,19 @@
 	return n, err
 }
 
+// Read implements io.Reader.
+func (b *answerBody) Read(p []byte) (int, error) {
+	n, err := b.source.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.broke = true
+	}
+	return n, err
+}
+
 // Close implements io.Closer.
 func (b *answerBody) Close() error {
 	err := b.closer.Close()
-	b.end()
+	b.end(b.broke)
 	return err
 }
 
@@ -69,17 +79,17 @@
 // newAnswer reads the first bytes of resp. One that is whole by then frees the
 // slot at once; end is called for any other when its body is closed, or here
 // when there is no answer.
-func newAnswer(resp *http.Response, end func()) (*Answer, error) {
+func newAnswer(resp *http.Response, end func(broke bool)) (*Answer, error) {
 	a := &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
 	head, err := io.ReadAll(io.LimitReader(resp.Body, keptAnswerBytes))
 	if err != nil {
 		resp.Body.Close()
-		end()
+		end(true)
 		return nil, code.NewError(code.AnswerCutOff, "the answer ended early: "+err.Error())
 	}
 	if len(head) < keptAnswerBytes {
 		resp.Body.Close()
-		end()
+		end(false)
 		if resp.ContentLength < 0 {
 			a.Length = int64(len(head))
 		}
@@ -87,7 +97,7 @@
 		return a, nil
 	}
 	a.Body = &answerBody{
-		Reader: io.MultiReader(bytes.NewReader(head), resp.Body),
+		source: io.MultiReader(bytes.NewReader(head), resp.Body),
 		closer: resp.Body, end: end,
 	}
 	return a, nil
--- a/router/dispatch/dispatcher.go
+++ b/router/dispatch/dispatcher.go
@@ -18,6 +18,7 @@
 	Dispatcher struct {
 		set       *Set
 		transport http.RoundTripper
+		watch     *watch
 
 		mu       sync.Mutex // guards all below
 		service  *route.Service
@@ -49,7 +50,7 @@
 	if t == nil {
 		t = newTransport(v.Config.Connections)
 	}
-	return &Dispatcher{set: s, transport: t, service: v, server: server, inSlot: map[keyspace.Slot]int{}}
+	return &Dispatcher{set: s, transport: t, watch: newWatch(s.suspects), service: v, server: server, inSlot: map[keyspace.Slot]int{}}
 }
 
 // setRoute takes the new snapshot and turns away work of slots that moved.
@@ -57,6 +58,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.service, d.server = v, server
+	if !server.Up {
+		d.watch.lost()
+	}
 	for _, j := range d.waiting.all() {
 		if owner, _, ok := v.Owner(j.slot); !ok || owner.Name != server.Name {
 			d.waiting.remove(j)
@@ -70,6 +74,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.until, d.epoch, d.held = a.Until, a.Epoch, a.Held
+	d.watch.setIncarnation(a.Incarnation)
 	d.granted = make([]bool, d.service.Config.Slots)
 	for _, r := range a.Granted {
 		for i := r.First; i <= r.Last; i++ {
--- a/router/dispatch/replicas.go
+++ b/router/dispatch/replicas.go
@@ -36,6 +36,8 @@
 	DropMark
 	// Greet tells and asks what the instances know of departures.
 	Greet
+	// Suspect tells of a request that was in flight at a crash.
+	Suspect
 	// HandedOver says that the caller has given all its marks to others.
 	HandedOver
 )
@@ -50,6 +52,7 @@
 		From      record.Writer `cbor:"2,keyasint"`
 		Mark      Mark          `cbor:"3,keyasint"`
 		Word      word          `cbor:"4,keyasint"`
+		Suspect   SuspectNote   `cbor:"5,keyasint"`
 	}
 
 	// MarkReply answers a MarkCall.
@@ -66,14 +69,18 @@
 
 	// replicas keeps copies of this instance's marks at its peers.
 	replicas struct {
-		self    record.Writer
-		clock   clock.Clock
-		peers   MarkPeers // nil when there are none
-		marks   *Marks
-		history *history
-		ends    sync.WaitGroup // calls whose answer nobody waits for
-		stop    chan struct{}  // closed at the end of the instance
-		greeted sync.Once
+		self     record.Writer
+		clock    clock.Clock
+		peers    MarkPeers // nil when there are none
+		marks    *Marks
+		history  *history
+		suspects *suspects
+		greeted  sync.Once
+		stop     chan struct{} // closed at the end of the instance
+
+		mu     sync.Mutex
+		closed bool           // guarded by mu
+		ends   sync.WaitGroup // calls whose answer nobody waits for; none is added once closed
 	}
 )
 
@@ -93,6 +100,8 @@
 		}
 	case DropMark:
 		p.marks.drop(c.Mark)
+	case Suspect:
+		p.suspects.note(c.Suspect)
 	case HandedOver:
 		p.history.handOver(c.From)
 	}
@@ -100,9 +109,14 @@
 }
 
 func (p *replicas) call(ctx context.Context, to route.Member, op MarkOperation, m Mark) (MarkReply, error) {
+	return p.send(ctx, to, MarkCall{Operation: op, Mark: m})
+}
+
+func (p *replicas) send(ctx context.Context, to route.Member, c MarkCall) (MarkReply, error) {
+	c.From, c.Word = p.self, p.history.tell()
 	ctx, cancel := context.WithTimeout(ctx, markTimeout)
 	defer cancel()
-	reply, err := p.peers.CallMark(ctx, to, MarkCall{Operation: op, From: p.self, Mark: m, Word: p.history.tell()})
+	reply, err := p.peers.CallMark(ctx, to, c)
 	if err != nil {
 		return reply, err
 	}
@@ -120,7 +134,7 @@
 		return
 	}
 	p.greeted.Do(func() {
-		p.ends.Go(func() {
+		p.background(func() {
 			for {
 				to := p.history.strangers()
 				if len(to) == 0 {
@@ -141,10 +155,22 @@
 
 // close ends what runs in the background and waits for it.
 func (p *replicas) close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
 	close(p.stop)
 	p.ends.Wait()
 }
 
+// background runs f, for which nobody waits but close.
+func (p *replicas) background(f func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.closed {
+		p.ends.Go(f)
+	}
+}
+
 // callAll calls all of to at once and returns the replies and errors in order.
 func (p *replicas) callAll(ctx context.Context, to []route.Member, op MarkOperation, m Mark) ([]MarkReply, []error) {
 	replies, errs := make([]MarkReply, len(to)), make([]error, len(to))
@@ -239,7 +265,7 @@
 		return
 	}
 	to := keepers(p.history.others(), p.history.own(), m)
-	p.ends.Go(func() {
+	p.background(func() {
 		for range forgetAttempts {
 			_, errs := p.callAll(context.Background(), to, op, m)
 			if errors.Join(errs...) == nil {
@@ -249,6 +275,16 @@
 	})
 }
 
+// tellSuspect sends n to all other members.
+func (p *replicas) tellSuspect(n SuspectNote) {
+	if p.peers == nil {
+		return
+	}
+	for _, to := range p.history.others() {
+		p.background(func() { _, _ = p.send(context.Background(), to, MarkCall{Operation: Suspect, Suspect: n}) })
+	}
+}
+
 // handOver gives all marks to other instances of the own failure domain, or to
 // any, and tells everyone, so that leaving loses none.
 func (p *replicas) handOver(ctx context.Context) error {
--- a/router/dispatch/send.go
+++ b/router/dispatch/send.go
@@ -28,29 +28,60 @@
 	ctx, cancel := context.WithDeadline(ctx, j.request.Deadline)
 	ctx, span := d.set.tracer.Start(ctx, "dispatch", trace.WithAttributes(
 		attribute.String("server", j.request.Server), attribute.Int("slot", int(j.slot))))
-	var once sync.Once
-	end := func() {
+	var (
+		once sync.Once
+		f    *flight // nil before the request may be sent
+	)
+	end := func(broke bool) {
 		once.Do(func() {
+			if f != nil {
+				broke = broke && ctx.Err() == nil
+				d.watch.leave(f, broke, broke && d.set.probe(d.address()))
+			}
 			span.End()
 			cancel()
 			d.finish(j)
 		})
 	}
-	if j.request.mark != nil {
-		if err := d.place(ctx, j.request); err != nil {
-			end()
-			return nil, err
-		}
+	f, err := d.prepare(ctx, j.request)
+	if err != nil {
+		end(false)
+		return nil, err
 	}
 	resp, err := d.roundTrip(ctx, j)
 	if err != nil {
-		end()
+		end(isReset(err))
 		return nil, err
 	}
 	answer, err := newAnswer(resp, end)
 	return answer, timedOut(ctx, err)
 }
 
+// prepare returns once r may be sent: its mark is placed, and it doesn't run
+// beside a request that may crash the backend server.
+func (d *Dispatcher) prepare(ctx context.Context, r *Request) (*flight, error) {
+	f, err := d.watch.enter(ctx, r)
+	if err != nil || r.mark == nil {
+		return f, err
+	}
+	if err := d.place(ctx, r); err != nil {
+		d.watch.leave(f, false, false)
+		return nil, err
+	}
+	return f, nil
+}
+
+func (d *Dispatcher) address() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.server.Address
+}
+
+func isReset(err error) bool {
+	var e *code.Error
+	return errors.As(err, &e) && e.Code == code.BackendReset
+}
+
 // roundTrip returns an answer that belongs to j and whose end can be told.
 func (d *Dispatcher) roundTrip(ctx context.Context, j *job) (*http.Response, error) {
 	var a attempt
--- a/router/dispatch/set.go
+++ b/router/dispatch/set.go
@@ -39,6 +39,8 @@
 		marks     *Marks
 		history   *history
 		replicas  *replicas
+		suspects  *suspects
+		probe     func(address string) bool // whether nothing listens there
 	}
 
 	// Option changes a Set at its construction.
@@ -72,6 +74,12 @@
 // minutes.
 func WithMarkRetention(d time.Duration) Option { return func(s *Set) { s.retention = d } }
 
+// WithQuarantine sets what is called to quarantine a request that crashed
+// backend servers in the whole fleet.
+func WithQuarantine(f func(record.Quarantined)) Option {
+	return func(s *Set) { s.suspects.report = f }
+}
+
 // NewSet returns the dispatchers of the instance self; it has none until
 // SetTable names some.
 func NewSet(self record.Writer, options ...Option) *Set {
@@ -82,13 +90,20 @@
 		drained: func(control.SlotsDrained) {},
 		servers: map[serverKey]*Dispatcher{},
 		held:    map[epochKey]time.Time{}, retention: defaultMarkRetention,
+		probe: refusesConnections,
 	}
+	s.suspects = newSuspects(s.clock)
 	for _, o := range options {
 		o(s)
 	}
+	s.suspects.clock = s.clock
 	s.marks = newMarks(s.clock, s.retention, maxMarks)
 	s.history = newHistory(self, s.clock, s.retention)
-	s.replicas = &replicas{self: self, clock: s.clock, peers: s.peers, marks: s.marks, history: s.history, stop: make(chan struct{})}
+	s.suspects.tell = func(n SuspectNote) { s.replicas.tellSuspect(n) }
+	s.replicas = &replicas{
+		suspects: s.suspects,
+		self:     self, clock: s.clock, peers: s.peers, marks: s.marks, history: s.history, stop: make(chan struct{}),
+	}
 	return s
 }
 
@@ -97,6 +112,7 @@
 	s.table.Store(t)
 	s.history.setTable(t)
 	s.replicas.greet()
+	s.setQuarantined(t)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	wanted := map[serverKey]bool{}
@@ -123,6 +139,15 @@
 	}
 }
 
+// setQuarantined takes in the quarantines of t.
+func (s *Set) setQuarantined(t *route.Table) {
+	keys := make(map[quarantineKey]time.Time, len(t.Quarantine))
+	for _, q := range t.Quarantine {
+		keys[quarantineKey{service: q.Service, print: Fingerprint(q.Fingerprint)}] = time.UnixMilli(q.UntilMillis)
+	}
+	s.suspects.setQuarantined(keys)
+}
+
 // update creates the dispatcher of key or gives it the new snapshot; s.mu is held.
 func (s *Set) update(key serverKey, v *route.Service, server *route.Server) {
 	d, ok := s.servers[key]
