--- a/router/caller/outcomes_test.go
+++ b/router/caller/outcomes_test.go
@@ -98,7 +98,7 @@
 		"large answer cut off, chunked":    {options: fleetOptions{script: chunked(large, false)}},
 		"HTTP/1.0 caller, whole":           {options: fleetOptions{script: chunked(large, true)}, proto: "HTTP/1.0"},
 		"HTTP/1.0 caller, cut off":         {options: fleetOptions{script: chunked(large, false)}, proto: "HTTP/1.0"},
-		"marked refusal, trusted":          {options: fleetOptions{script: refuse, trusted: true}, method: "POST", key: "k"},
+		"marked refusal, trusted":          {options: fleetOptions{script: refuse, trusted: true, patient: short}, method: "POST", key: "k"},
 		"marked refusal, not trusted":      {options: fleetOptions{script: refuse}, method: "POST", key: "k"},
 		"upload cut off by the caller":     {options: fleetOptions{script: answerOK, body: 300 * time.Millisecond}, method: "PUT", body: large, short: 100},
 		"small body too slow":              {options: fleetOptions{script: answerOK, body: 300 * time.Millisecond}, method: "PUT", body: 1000, short: 100},
--- a/router/caller/retry.go
+++ b/router/caller/retry.go
@@ -73,7 +73,7 @@
 func (s *Server) route(ctx context.Context, r *dispatch.Request) (*dispatch.Answer, error) {
 	s.budget.earn(s.table.Load().Configuration.Limits.RetryBudgetRatio)
 	retries, wait := 0, firstRetryWait
-	var earlier *code.Error // of the last try that was not run
+	var before past
 	for {
 		changed := s.change()
 		answer, err := s.try(ctx, r)
@@ -84,10 +84,8 @@
 		if !errors.As(err, &e) {
 			return nil, code.NewError(code.DispatcherLost, err.Error())
 		}
-		if e.Code == code.DeadlineBeforeStart && earlier != nil {
-			return nil, earlier
-		}
 		next := judge(e, r, retries)
+		e = before.conclude(e)
 		if next == giveUp || !rewind(r) {
 			return nil, e
 		}
@@ -96,8 +94,6 @@
 				return nil, e
 			}
 			retries++
-		} else {
-			earlier = e
 		}
 		wait = min(wait, r.Deadline.Sub(s.clock.Now()))
 		if wait <= 0 || !s.wait(ctx, changed, jitter(wait)) {
@@ -107,6 +103,31 @@
 	}
 }
 
+// past holds the failures of a request's earlier tries. The zero value has none.
+type past struct {
+	unknown *code.Error // the last one that may have run
+	notRun  *code.Error // the last one that was not run, and why
+}
+
+// conclude returns what the caller is to be told after a try failed with e: a
+// request of which an earlier try may have run is never said not to have run,
+// and a refusal for want of time gives way to the failure that took the time.
+func (p *past) conclude(e *code.Error) *code.Error {
+	if e.Code.Outcome() == code.Unknown {
+		p.unknown = e
+		return e
+	}
+	if p.unknown != nil {
+		return p.unknown
+	}
+	short := e.Code == code.DeadlineBeforeStart || e.Code == code.TargetUnreachable
+	if short && p.notRun != nil {
+		return p.notRun
+	}
+	p.notRun = e
+	return e
+}
+
 // jitter returns a duration from half of d to d, so that requests that failed
 // together don't return together.
 func jitter(d time.Duration) time.Duration {
--- a/router/dispatch/once.go
+++ b/router/dispatch/once.go
@@ -179,8 +179,8 @@
 // longHeld reports whether this instance has dispatched the key of m for the
 // whole retention time, so that its own table holds all marks of the key.
 func (s *Set) longHeld(m Mark) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.heldMu.Lock()
+	defer s.heldMu.Unlock()
 	now, key := s.clock.Now(), epochKey{service: m.Service, epoch: m.Epoch}
 	since, ok := s.held[key]
 	if !ok {
--- a/router/dispatch/once_test.go
+++ b/router/dispatch/once_test.go
@@ -24,8 +24,8 @@
 	return h[:8] + "-" + h[8:12] + "-" + h[12:16] + "-" + h[16:20] + "-" + h[20:]
 }
 
-// result is a body, or the name of a code.
-func result(body string, err error) string {
+// resultOf returns a body, or the name of a code.
+func resultOf(body string, err error) string {
 	var e *code.Error
 	if errors.As(err, &e) {
 		return e.Code.String()
@@ -40,20 +40,20 @@
 	broken := errors.New("connection reset")
 	repeatAfter := func(change func(f *markFleet)) func(f *markFleet) []string {
 		return func(f *markFleet) []string {
-			first := result(f.do("k", target))
+			first := resultOf(f.do("k", target))
 			synctest.Wait()
 			change(f)
-			return []string{first, result(f.do("k", target)), result(f.do("new", target))}
+			return []string{first, resultOf(f.do("k", target)), resultOf(f.do("new", target))}
 		}
 	}
 	failed := func(change func(f *markFleet)) func(f *markFleet) []string {
 		return func(f *markFleet) []string {
 			f.backend.set(func(b *fakeBackend) { b.fail = broken })
-			first := result(f.do("k", target))
+			first := resultOf(f.do("k", target))
 			f.backend.set(func(b *fakeBackend) { b.fail = nil })
 			synctest.Wait()
 			change(f)
-			return []string{first, result(f.do("k", target))}
+			return []string{first, resultOf(f.do("k", target))}
 		}
 	}
 	nothing := func(*markFleet) {}
@@ -68,22 +68,23 @@
 		{"repeat after an unknown end", failed(nothing), []string{"backend-reset", "backend-reset"}, 1},
 		{"repeat after not run", func(f *markFleet) []string {
 			f.backend.set(func(b *fakeBackend) { b.refuse = true })
-			first := result(f.do("k", target))
+			first := resultOf(f.do("k", target))
 			f.backend.set(func(b *fakeBackend) { b.refuse = false })
-			return []string{first, result(f.do("k", target))}
+			time.Sleep(time.Minute)
+			return []string{first, resultOf(f.do("k", target))}
 		}, []string{"backend-unreachable", "ran k"}, 1},
 		{"repeat while it runs", func(f *markFleet) []string {
 			release, got := make(chan struct{}), make(chan string)
 			f.backend.set(func(b *fakeBackend) { b.release = release })
 			for range 3 {
-				go func() { got <- result(f.do("k", target)) }()
+				go func() { got <- resultOf(f.do("k", target)) }()
 			}
 			synctest.Wait()
 			close(release)
 			return []string{<-got, <-got, <-got}
 		}, []string{"ran k", "ran k", "ran k"}, 1},
 		{"key of another request", func(f *markFleet) []string {
-			return []string{result(f.do("k", target)), result(f.do("k", target+"?x"))}
+			return []string{resultOf(f.do("k", target)), resultOf(f.do("k", target+"?x"))}
 		}, []string{"ran k", "ran k"}, 2},
 		{"repeat after the retention time", repeatAfter(func(*markFleet) { time.Sleep(defaultMarkRetention + time.Second) }), []string{"ran k", "ran k", "ran new"}, 2},
 		{"dispatcher lost after the end", repeatAfter(func(f *markFleet) { f.takeOver("e2-b", "e1-a") }), []string{"ran k", "ran k", "ran new"}, 1},
@@ -93,7 +94,7 @@
 		{"all copies lost, first try of a key made later", repeatAfter(func(f *markFleet) {
 			bothLost(f)
 			time.Sleep(2 * maxCallerSkew)
-			if got := result(f.do(uuid7(time.Now()), target)); got[:3] != "ran" {
+			if got := resultOf(f.do(uuid7(time.Now()), target)); got[:3] != "ran" {
 				f.t.Errorf("fresh key: %s", got)
 			}
 		}), []string{"ran k", "mark-lost", "mark-lost"}, 1},
@@ -105,10 +106,10 @@
 			release, got := make(chan struct{}), make(chan string)
 			f.backend.set(func(b *fakeBackend) { b.release = release })
 			old := f.sets[writer("e1-a")]
-			go func() { got <- result(bill(old, "k", target, "")) }()
+			go func() { got <- resultOf(bill(old, "k", target, "")) }()
 			synctest.Wait()
 			f.takeOver("e2-b", "e1-a")
-			out := []string{result(f.do("k", target))}
+			out := []string{resultOf(f.do("k", target))}
 			close(release)
 			return append(out, <-got)
 		}, []string{"mark-lost", "ran k"}, 1},
@@ -122,13 +123,13 @@
 			time.Sleep(weakGrace)
 		}), []string{"ran k", "ran k", "ran new"}, 1},
 		{"key older than marks are kept", func(f *markFleet) []string {
-			return []string{result(f.do(uuid7(time.Now().Add(-defaultMarkRetention)), target))}
+			return []string{resultOf(f.do(uuid7(time.Now().Add(-defaultMarkRetention)), target))}
 		}, []string{"mark-lost"}, 0},
 		{"a peer does not answer", func(f *markFleet) []string {
 			f.mu.Lock()
 			f.silent = writer("e2-b")
 			f.mu.Unlock()
-			return []string{result(f.do("k", target))}
+			return []string{resultOf(f.do("k", target))}
 		}, []string{"mark-not-replicated"}, 0},
 	}
 	for _, tt := range tests {
@@ -155,7 +156,7 @@
 		var got []string
 		put := func(i int) {
 			_, err := m.put(mark(i))
-			got = append(got, result("kept", err))
+			got = append(got, resultOf("kept", err))
 		}
 		put(1)
 		time.Sleep(30 * time.Second)
--- a/router/dispatch/request.go
+++ b/router/dispatch/request.go
@@ -27,6 +27,8 @@
 		Caller         string // kind of caller
 		IdempotencyKey string // never empty for once-only work
 
+		bodyRead bool // a read of Body was begun
+
 		mark *Mark // of the run of once-only work; set by the dispatcher
 	}
 
--- a/router/dispatch/send.go
+++ b/router/dispatch/send.go
@@ -53,6 +53,7 @@
 		end(isReset(err))
 		return nil, err
 	}
+	d.judge(j, resp)
 	answer, err := newAnswer(resp, end)
 	return answer, timedOut(ctx, err)
 }
@@ -92,9 +93,11 @@
 	}
 	resp, err := d.transport.RoundTrip(req)
 	if err != nil {
+		j.request.bodyRead = body.seal() || j.request.bodyRead
 		return nil, failure(ctx, err, a.unwritten(), body.failed())
 	}
 	if e := d.check(req, resp); e != nil {
+		j.request.bodyRead = body.seal() || j.request.bodyRead
 		if e.Code != code.RefusedByBackend {
 			a.discard()
 		}
@@ -185,7 +188,10 @@
 // onceReader is a body that net/http can't read a second time.
 type onceReader struct {
 	r      io.Reader // nil when there is no body
+	began  atomic.Bool
+	sealed atomic.Bool
 	broken atomic.Bool
+	mu     sync.Mutex // held by a read
 }
 
 // Read implements io.Reader.
@@ -193,6 +199,12 @@
 	if o.r == nil {
 		return 0, io.EOF
 	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.began.Store(true)
+	if o.sealed.Load() {
+		return 0, io.ErrClosedPipe
+	}
 	n, err := o.r.Read(p)
 	if err != nil && !errors.Is(err, io.EOF) {
 		o.broken.Store(true)
@@ -200,5 +212,17 @@
 	return n, err
 }
 
+// seal lets no further read begin, since net/http may still read after it gave
+// an error, and reports whether one was begun. It waits only for reads from
+// memory.
+func (o *onceReader) seal() bool {
+	o.sealed.Store(true)
+	if _, ok := o.r.(io.Seeker); ok {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+	}
+	return o.began.Load()
+}
+
 // failed reports whether the source of the body broke.
 func (o *onceReader) failed() bool { return o.broken.Load() }
--- a/router/dispatch/suspects_test.go
+++ b/router/dispatch/suspects_test.go
@@ -96,7 +96,7 @@
 		Method: http.MethodGet, Target: target, Header: h, Deadline: time.Now().Add(5 * time.Second),
 	})
 	if err != nil {
-		return result("", err)
+		return resultOf("", err)
 	}
 	a.Body.Close()
 	return fmt.Sprint(a.Status)
