Drain without cutting a request, and enforce the door's limits

Cause: a shutdown refused new requests at once, dropped forwarded streams that were not accepted yet, and left readiness green; limits of the configuration were not in force at the door.

Change: on SIGTERM readiness is 503 and answers carry Connection: close for limits.move-time (2s by default) while requests are served; then running ones finish within 30s. Start marks are handed over. Connections are served under the limits in force when they were accepted; connections over limits.connections get 2026.

Figures: TestDrain, through one instance and two: the request that ran and one in the move time are answered whole. TestDoorLimits: 14 rows.

--- a/core/code/code.go
+++ b/core/code/code.go
@@ -59,6 +59,7 @@
 	KeyReused           Code = 2023
 	SlowCaller          Code = 2024
 	MarksFull           Code = 2025
+	TooManyConnections  Code = 2026
 
 	BackendReset     Code = 3001
 	BackendTimeout   Code = 3002
@@ -108,6 +109,7 @@
 	{KeyReused, NotRun, http.StatusUnprocessableEntity, "idempotency-key-reused", "The idempotency key was used before for a request with another method, path or body length."},
 	{SlowCaller, NotRun, http.StatusRequestTimeout, "slow-caller", "The caller sent its body too slowly; nothing was passed on."},
 	{MarksFull, NotRun, http.StatusServiceUnavailable, "marks-full", "The dispatcher keeps as many start marks as it may, so no once-only request can start."},
+	{TooManyConnections, NotRun, http.StatusServiceUnavailable, "too-many-connections", "The entry has as many connections of callers open as it may have."},
 	{BackendReset, Unknown, http.StatusBadGateway, "backend-reset", "The connection broke after the first byte was sent."},
 	{BackendTimeout, Unknown, http.StatusGatewayTimeout, "backend-timeout", "The deadline passed after the first byte was sent."},
 	{DispatcherLost, Unknown, http.StatusBadGateway, "dispatcher-lost", "The dispatcher was lost after it took the request."},
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -63,7 +63,8 @@
 		Connections      int      `yaml:"connections"`
 		HeaderTimeout    Duration `yaml:"header-timeout"`
 		BodyIdleTimeout  Duration `yaml:"body-idle-timeout"`
-		RetryBudgetRatio float64  `yaml:"retry-budget-ratio"` // retries per first try, 0 to 1
+		RetryBudgetRatio float64  `yaml:"retry-budget-ratio"`  // retries per first try, 0 to 1
+		MoveTime         Duration `yaml:"move-time,omitempty"` // before a shutdown, for callers to go elsewhere; 0 means 2s
 	}
 
 	// Caller is a kind of caller with its own cap.
--- a/router/caller/request.go
+++ b/router/caller/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 
 	"bronzewind.example/core/backend"
@@ -57,6 +58,9 @@
 		Caller:         r.Header.Get(CallerHeader),
 		IdempotencyKey: r.Header.Get(backend.IdempotencyHeader),
 	}
+	if len(r.Header.Values(backend.IdempotencyHeader)) > 1 {
+		return nil, code.NewError(code.MalformedRequest, "more than one "+backend.IdempotencyHeader)
+	}
 	if kind.OnceOnly && req.IdempotencyKey == "" {
 		return nil, code.NewError(code.IdempotencyMissing, "kind "+kind.Name+" is once-only")
 	}
@@ -106,11 +110,8 @@
 // copyHeader copies what an answer may show to the caller.
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
-		if !strings.HasPrefix(name, reservedPrefix) {
+		if !strings.HasPrefix(name, reservedPrefix) && !slices.Contains(hopHeaders, name) {
 			to[name] = values
 		}
 	}
-	for _, name := range hopHeaders {
-		to.Del(name)
-	}
 }
--- a/router/caller/server.go
+++ b/router/caller/server.go
@@ -55,6 +55,7 @@
 		tracer   trace.Tracer
 		log      *slog.Logger
 		draining atomic.Bool
+		moving   atomic.Bool // callers are asked to close their connections
 		budget   budget
 
 		table   atomic.Pointer[route.Table]
@@ -103,6 +104,9 @@
 	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := s.tracer.Start(ctx, "entry", trace.WithAttributes(attribute.String("path", r.URL.Path)))
 	defer span.End()
+	if s.moving.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	req, err := s.read(w, r)
 	if err != nil {
 		s.refuse(w, err)
--- a/router/daemon/daemon.go
+++ b/router/daemon/daemon.go
@@ -38,6 +38,8 @@
 	eventBuffer  = 1024
 	appendBuffer = 256
 	drainLimit   = 30 * time.Second
+
+	handOverLimit = 5 * time.Second
 )
 
 type (
@@ -60,6 +62,7 @@
 		client   *peer.Client
 		table    atomic.Pointer[route.Table]
 		ready    atomic.Bool
+		draining atomic.Bool
 		status   atomic.Pointer[status]
 	}
 
@@ -130,8 +133,11 @@
 	select {
 	case <-ctx.Done():
 		d.log.Info("draining")
+		d.draining.Store(true)
+		d.entry.AskToMove()
 		stopEntry()
 		errs = append(errs, <-ended)
+		d.handOverMarks(run)
 	case err := <-ended:
 		errs = append(errs, err)
 	}
@@ -139,12 +145,22 @@
 	for left--; left > 0; left-- {
 		errs = append(errs, <-ended)
 	}
+	d.dispatch.Close()
 	d.client.Close()
 	d.tracing.close()
 	d.log.Info("stopped")
 	return errors.Join(errs...)
 }
 
+// handOverMarks gives the start marks of once-only work to other instances.
+func (d *Daemon) handOverMarks(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverLimit)
+	defer cancel()
+	if err := d.dispatch.HandOver(ctx); err != nil {
+		d.log.Warn("repeats of once-only work may be answered unknown", "error", err)
+	}
+}
+
 func wrap(part string, err error) error {
 	if err == nil {
 		return nil
--- a/router/daemon/serve.go
+++ b/router/daemon/serve.go
@@ -51,7 +51,9 @@
 
 // serveCallers answers callers until ctx ends, then finishes what runs.
 func (d *Daemon) serveCallers(ctx context.Context) error {
-	return serveHTTP(ctx, d.settings.Listen, d.entry)
+	done := make(chan error, 1)
+	d.entry.Serve(ctx, d.settings.Listen, done)
+	return <-done
 }
 
 // serveAdmin answers probes, metrics and status.
@@ -59,7 +61,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "live") })
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
-		if !d.ready.Load() {
+		if !d.ready.Load() || d.draining.Load() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return
 		}
--- a/router/dispatch/send.go
+++ b/router/dispatch/send.go
@@ -151,6 +151,9 @@
 	req.Header.Set(backend.EpochHeader, strconv.FormatUint(epoch, 10))
 	req.Header.Set(backend.SlotHeader, strconv.FormatUint(uint64(j.slot), 10))
 	req.Header.Set(backend.HashHeader, strconv.FormatUint(uint64(r.Hash), 16))
+	if r.IdempotencyKey != "" {
+		req.Header.Set(backend.IdempotencyHeader, r.IdempotencyKey)
+	}
 	req.Header.Set(backend.SequenceHeader, fmt.Sprintf("%s.%d.%d", server.Name, epoch, j.arrived))
 	return req, nil
 }
