--- a/router/dispatch/answer.go
+++ b/router/dispatch/answer.go
@@ -76,12 +76,23 @@
 	return resp.Body == http.NoBody || resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
+// readHead returns the first bytes of the body of resp, or all of it when it is
+// shorter than what is kept.
+func readHead(resp *http.Response) ([]byte, error) {
+	if resp.ContentLength < 0 || resp.ContentLength >= keptAnswerBytes || resp.Body == http.NoBody {
+		return io.ReadAll(io.LimitReader(resp.Body, keptAnswerBytes))
+	}
+	head := make([]byte, resp.ContentLength)
+	_, err := io.ReadFull(resp.Body, head)
+	return head, err
+}
+
 // newAnswer reads the first bytes of resp. One that is whole by then frees the
 // slot at once; end is called for any other when its body is closed, or here
 // when there is no answer.
 func newAnswer(resp *http.Response, end func(broke bool)) (*Answer, error) {
 	a := &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
-	head, err := io.ReadAll(io.LimitReader(resp.Body, keptAnswerBytes))
+	head, err := readHead(resp)
 	if err != nil {
 		resp.Body.Close()
 		end(true)
