--- a/core/control/control.go
+++ b/core/control/control.go
@@ -4,6 +4,7 @@
 package control
 
 import (
+	"fmt"
 	"time"
 
 	"bronzewind.example/core/backend"
@@ -59,6 +60,10 @@
 		Ranges          []record.SlotRange
 	}
 
+	// CrashFound asks for a request that crashed backend servers to be
+	// quarantined.
+	CrashFound struct{ Quarantine record.Quarantined }
+
 	// MessageReceived brings a control message of another instance.
 	MessageReceived struct {
 		From    record.Writer
@@ -159,6 +164,7 @@
 func (SlotsDrained) event()     {}
 func (MessageReceived) event()  {}
 func (Ticked) event()           {}
+func (CrashFound) event()       {}
 
 func (ReadLog) effect()     {}
 func (Append) effect()      {}
@@ -204,6 +210,8 @@
 		out = c.drained(e, now)
 	case LoadMeasured:
 		out = c.measured(e, now)
+	case CrashFound:
+		out = c.propose(fmt.Sprintf("quarantine/%s/%d", e.Quarantine.Service, e.Quarantine.Fingerprint), e.Quarantine, now)
 	case MessageReceived:
 		out = c.received(e, now)
 	case Ticked:
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -68,6 +68,8 @@
 		Configuration *config.Configuration `cbor:"-"` // nil before the first
 		Author        string                // of the configuration in force
 		Members       map[string]Member     // by instance name
+		Departed      uint64                // memberships that ended so far
+		Quarantine    []record.Quarantined  // in order; at most maxQuarantine
 		Services      map[string]*Service
 		Checkpoint    Checkpoint
 		Seen          Seen   // accepted records that can still be repeated
--- a/router/dispatch/dispatcher.go
+++ b/router/dispatch/dispatcher.go
@@ -23,6 +23,7 @@
 	Dispatcher struct {
 		set       *Set
 		transport http.RoundTripper
+		watch     *watch
 		startable func(*job) bool // mayStart
 
 		mu      sync.Mutex // guards all below
@@ -46,7 +47,7 @@
 		t = newTransport(v.Config.Connections)
 	}
 	d := &Dispatcher{
-		set: s, transport: t, service: v, server: server,
+		set: s, transport: t, watch: newWatch(s.suspects), service: v, server: server,
 		queue:   newQueue(v.Config, callers),
 		limiter: newLimiter(v.Config.ServerSlots),
 		meter:   newLoadMeter(s.clock.Now()),
@@ -65,6 +66,9 @@
 		d.limiter.setMax(v.Config.ServerSlots)
 	}
 	d.service, d.server = v, server
+	if !server.Up {
+		d.watch.lost()
+	}
 	d.turnAway("the key moved to another backend server", func(j *job) bool { return !d.owns(j.request.Hash) })
 	d.startNext(d.set.clock.Now())
 }
@@ -81,6 +85,7 @@
 	defer d.mu.Unlock()
 	now := d.set.clock.Now()
 	d.until, d.epoch = a.Until, a.Epoch
+	d.watch.setIncarnation(a.Incarnation)
 	d.owned.authorize(a, d.service.Config.Slots)
 	d.reportDrained()
 	cold := !d.server.Up || d.server.Run != a.Incarnation
@@ -139,9 +144,17 @@
 	}
 }
 
-// do queues r and sends it once a slot is free. A try that provably did not
-// run is queued again until the caller's patience ends.
+// do runs r.
 func (d *Dispatcher) do(ctx context.Context, r *Request) (*Answer, error) {
+	if r.Kind.OnceOnly {
+		return d.doOnce(ctx, r)
+	}
+	return d.enqueueAndSend(ctx, r)
+}
+
+// enqueueAndSend queues r and sends it once a slot is free. A try that provably
+// did not run is queued again until the caller's patience ends.
+func (d *Dispatcher) enqueueAndSend(ctx context.Context, r *Request) (*Answer, error) {
 	j, err := d.enqueue(r)
 	if err != nil {
 		return nil, err
@@ -312,7 +325,7 @@
 	defer d.mu.Unlock()
 	now := d.set.clock.Now()
 	wait := d.limiter.refused(j.kind.service.mean, now)
-	return wait, now.Add(wait).Before(j.startBy) && (unsent || rewind(j.request))
+	return wait, now.Add(wait).Before(j.startBy) && rewind(j.request)
 }
 
 // pause waits before the next try, then lets the dispatcher go on; it returns
@@ -330,14 +343,12 @@
 	return ctx.Err() == nil
 }
 
-// rewind makes the body of r ready for another try; a streamed one can't be.
+// rewind makes the body of r ready for another try; a streamed one of which a
+// part was read can't be.
 func rewind(r *Request) bool {
-	if r.Body == nil {
-		return true
-	}
 	s, ok := r.Body.(io.Seeker)
 	if !ok {
-		return false
+		return !r.bodyRead
 	}
 	_, err := s.Seek(0, io.SeekStart)
 	return err == nil
--- a/router/dispatch/request.go
+++ b/router/dispatch/request.go
@@ -26,6 +26,10 @@
 		Deadline       time.Time
 		Caller         string // kind of caller
 		IdempotencyKey string // never empty for once-only work
+
+		bodyRead bool // a read of Body was begun
+
+		mark *Mark // of the run of once-only work; set by the dispatcher
 	}
 
 	// Answer is the answer of a backend server. Body must be closed; it ends
