--- a/core/control/assign.go
+++ b/core/control/assign.go
@@ -43,6 +43,8 @@
 		started   time.Time                   // when the first backend server was up
 		checked   time.Time                   // when the service was last looked at
 		offset    uint64                      // of the state then
+		placed    uint64                      // offset of the state at which all servers were placed
+		lists     uint64                      // number of the list then
 		version   uint64                      // of the service for which the following hold
 		moving    bool                        // a slot or key is on the move
 		unplaced  bool                        // a slot or key has no owner, or one that leaves
@@ -187,9 +189,13 @@
 // unplaced reports whether a slot or key of v has no owner, or one that is to
 // own nothing.
 func unplaced(v *state.Service) bool {
+	known, last := false, ""
 	bad := func(row state.SlotRow) bool {
-		s, ok := v.Servers[heir(row)]
-		return !ok || s.Emptying()
+		if name := heir(row); !known || name != last {
+			s, ok := v.Servers[name]
+			known, last = ok && !s.Emptying(), name
+		}
+		return !known
 	}
 	return slices.ContainsFunc(v.Slots, bad) || slices.ContainsFunc(slices.Collect(maps.Values(v.Keys)), bad)
 }
--- a/core/control/control.go
+++ b/core/control/control.go
@@ -128,6 +128,7 @@
 		state    *state.State // of log
 		caughtUp bool
 		listed   []platform.Listed
+		lists    uint64                  // number of changes of listed
 		missing  map[serverKey]time.Time // since when the list names them no longer
 		pending  map[string]pending      // by subject; at most one record each
 		grants   map[serverKey]*grantState
--- a/core/control/coordinator.go
+++ b/core/control/coordinator.go
@@ -23,7 +23,10 @@
 
 // list takes the platform's list and notes which backend servers it misses.
 func (c *Core) list(e ServersListed, now time.Time) {
-	c.listed = e.Rows
+	if !slices.Equal(c.listed, e.Rows) {
+		c.listed = slices.Clone(e.Rows)
+		c.lists++
+	}
 	named := map[serverKey]bool{}
 	for _, l := range e.Rows {
 		named[serverKey{service: l.Service, server: l.Name}] = true
@@ -95,6 +98,7 @@
 	if rows, removed := c.misplaced(v, now), c.removable(v, now); len(rows)+len(removed) > 0 {
 		return c.propose(subject, record.ServersPlaced{Service: v.Name, Term: v.Term, Base: v.Version, Servers: rows, Removed: removed}, now)
 	}
+	c.planState(v.Name).placed, c.planState(v.Name).lists = c.state.Next, c.lists
 	if v.Removed {
 		return nil
 	}
@@ -125,6 +129,9 @@
 // misplaced returns a row for each backend server that is new, changed, gone,
 // or without a dispatcher.
 func (c *Core) misplaced(v *state.Service, now time.Time) []record.ServerRow {
+	if st := c.planState(v.Name); st.placed == c.state.Next && st.lists == c.lists && len(c.missing) == 0 {
+		return nil
+	}
 	wanted := map[string]record.ServerRow{}
 	for name, s := range v.Servers {
 		row := s.Row
@@ -157,6 +164,9 @@
 // removable returns the backend servers that are gone from the list and own
 // nothing.
 func (c *Core) removable(v *state.Service, now time.Time) []string {
+	if len(c.missing) == 0 {
+		return nil
+	}
 	var out []string
 	for _, name := range v.ServerNames() {
 		if c.gone(v.Name, name, now) && v.Servers[name].Row.Leaving && !v.OwnsAny(name) {
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -84,11 +84,17 @@
 		index[n] = uint16(i)
 		out.servers = append(out.servers, newServer(s, c.Name, v.Servers[n]))
 	}
+	name, last := "", uint16(noServer)
 	owner := func(row state.SlotRow) uint16 {
-		if k, ok := index[row.Owner]; ok {
-			return k
+		if row.Owner == name {
+			return last
 		}
-		return noServer
+		k, ok := index[row.Owner]
+		if !ok {
+			k = noServer
+		}
+		name, last = row.Owner, k
+		return k
 	}
 	for i, row := range v.Slots {
 		out.owners[i], out.epochs[i] = owner(row), row.Epoch
--- a/core/state/fold.go
+++ b/core/state/fold.go
@@ -176,6 +176,7 @@
 		}
 	}
 	v.Version++
+	v.names = nil
 	for _, row := range b.Servers {
 		old := v.Servers[row.Name]
 		next := Server{Row: row, Epoch: old.Epoch, Up: old.Up, Run: old.Run, Leaving: old.Leaving}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -50,6 +50,7 @@
 		Slots       Slots                     // length is the configured slot count; it never changes
 		Keys        map[keyspace.Hash]SlotRow // hot keys, which are not owned with their slots
 		Removed     bool                      // no longer configured; it ends when no server is up
+		names       []string                  // of Servers in order; nil after a change of them
 	}
 
 	// Checkpoint is what the fold knows of the checkpoints in the log.
@@ -176,14 +177,13 @@
 	return false
 }
 
-// ServerNames returns the names of all backend servers of v in order.
+// ServerNames returns the names of all backend servers of v in order; the
+// slice is not to be changed.
 func (v *Service) ServerNames() []string {
-	names := make([]string, 0, len(v.Servers))
-	for n := range v.Servers {
-		names = append(names, n)
+	if len(v.names) != len(v.Servers) {
+		v.names = slices.Sorted(maps.Keys(v.Servers))
 	}
-	sort.Strings(names)
-	return names
+	return v.names
 }
 
 // OwnedBy returns the slots that server owns, as ranges in order.
