Give the state to instances that start while the log holds no whole one

Cause: an instance that started after the log's records had lapsed waited for a checkpoint. Change: instances named in the settings are asked for their state over QUIC, and the latest is taken. Off unless peers are named, as they can't be verified.

--- a/router/daemon/daemon.go
+++ b/router/daemon/daemon.go
@@ -57,6 +57,8 @@
 		events   chan control.Event
 		appends  chan record.Record
 		readFrom chan uint64 // holds the last offset asked for
+		encoded  chan chan<- encodedState
+		last     encodedState // used by the control goroutine alone
 		entry    *caller.Server
 		dispatch *dispatch.Set
 		client   *peer.Client
@@ -95,6 +97,7 @@
 		events:   make(chan control.Event, eventBuffer),
 		appends:  make(chan record.Record, appendBuffer),
 		readFrom: make(chan uint64, 1),
+		encoded:  make(chan chan<- encodedState),
 		client:   peer.NewClient(identity),
 		grants:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
 	}
@@ -124,6 +127,7 @@
 		{"log writer", d.writeLog},
 		{"list reader", d.followList},
 		{"load reader", d.followLoad},
+		{"peer reader", d.askPeers},
 		{"admin", d.serveAdmin},
 		{"forward", d.serveForward},
 	}
@@ -174,6 +178,9 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case to := <-d.encoded:
+			to <- d.encode()
+			continue
 		case e = <-d.events:
 		case <-ticker.C:
 			e = control.Ticked{}
@@ -214,7 +221,7 @@
 }
 
 func (d *Daemon) serveForward(ctx context.Context) error {
-	server := peer.NewServer(d.identity, d.dispatch, d.trusted, d.kind, d.log)
+	server := peer.NewServer(d.identity, d.dispatch, d.trusted, d.kind, d.log, peer.WithSnapshot(d.snapshot))
 	done := make(chan error, 1)
 	server.Serve(ctx, d.settings.Forward, done)
 	return <-done
--- a/router/peer/certificate.go
+++ b/router/peer/certificate.go
@@ -48,7 +48,11 @@
 
 // Fingerprint returns the SHA-256 of the certificate.
 func (i *Identity) Fingerprint() []byte {
-	sum := sha256.Sum256(i.certificate.Certificate[0])
+	return fingerprint(i.certificate.Certificate[0])
+}
+
+func fingerprint(certificate []byte) []byte {
+	sum := sha256.Sum256(certificate)
 	return sum[:]
 }
 
@@ -65,8 +69,7 @@
 			if len(raw) == 0 {
 				return errors.New("peer sent no certificate")
 			}
-			sum := sha256.Sum256(raw[0])
-			if !trusted(sum[:]) {
+			if !trusted(fingerprint(raw[0])) {
 				return errors.New("peer's certificate is not in the log")
 			}
 			return nil
--- a/router/peer/server.go
+++ b/router/peer/server.go
@@ -31,13 +31,18 @@
 		trusted  func(fingerprint []byte) bool
 		kind     func(service, kind string) (*config.Kind, bool)
 		log      *slog.Logger
+		snapshot func(ctx context.Context) ([]byte, error) // nil when none is served
 	}
 )
 
 // NewServer returns a server that hands requests to doer. trusted says which
 // peers are members; kind finds a kind of work in the configuration in force.
-func NewServer(identity *Identity, doer Doer, trusted func([]byte) bool, kind func(service, kind string) (*config.Kind, bool), log *slog.Logger) *Server {
-	return &Server{identity: identity, doer: doer, trusted: trusted, kind: kind, log: log}
+func NewServer(identity *Identity, doer Doer, trusted func([]byte) bool, kind func(service, kind string) (*config.Kind, bool), log *slog.Logger, options ...ServerOption) *Server {
+	s := &Server{identity: identity, doer: doer, trusted: trusted, kind: kind, log: log}
+	for _, o := range options {
+		o(s)
+	}
+	return s
 }
 
 // Serve listens on address until ctx ends, then waits for its streams and
@@ -47,7 +52,7 @@
 }
 
 func (s *Server) serve(ctx context.Context, address string) error {
-	l, err := quic.ListenAddr(address, s.identity.tlsConfig(s.trusted), quicConfig())
+	l, err := quic.ListenAddr(address, s.tlsConfig(), quicConfig())
 	if err != nil {
 		return fmt.Errorf("forward address %s: %w", address, err)
 	}
@@ -77,6 +82,10 @@
 		if err != nil {
 			return
 		}
+		if conn.ConnectionState().TLS.NegotiatedProtocol == snapshotProtocol {
+			wg.Go(func() { s.serveSnapshot(conn.Context(), stream) })
+			continue
+		}
 		wg.Go(func() { s.serveStream(conn.Context(), stream) })
 	}
 }
--- a/router/settings/settings.go
+++ b/router/settings/settings.go
@@ -24,6 +24,11 @@
 	Platform      string `yaml:"platform"`   // URL of log service and list
 	LogFormat     string `yaml:"log-format"` // text or json
 	Trace         string `yaml:"trace"`      // off, stdout, or the URL of an OTLP collector
+
+	// Peers are forward addresses of other instances, which an instance that
+	// starts while the log has no whole state asks for theirs. They are not
+	// verified.
+	Peers []string `yaml:"peers,omitempty"`
 }
 
 // Option changes settings after they were read, for flags.
