--- a/core/control/bench_test.go
+++ b/core/control/bench_test.go
@@ -152,7 +152,7 @@
 	}
 }
 
-func heap() float64 {
+func heapBytes() float64 {
 	var m runtime.MemStats
 	runtime.GC()
 	runtime.GC()
@@ -164,13 +164,13 @@
 // grows with slots, backend servers and instances.
 func BenchmarkStateMemory(b *testing.B) {
 	size := func(instances, servers, slots int) float64 {
-		before := heap()
+		before := heapBytes()
 		s, err := state.Decode(encoded(b, instances, servers, slots))
 		if err != nil {
 			b.Fatal(err)
 		}
 		t := route.NewTable(s)
-		after := heap()
+		after := heapBytes()
 		runtime.KeepAlive(s)
 		runtime.KeepAlive(t)
 		return after - before
--- a/core/control/handover.go
+++ b/core/control/handover.go
@@ -34,6 +34,7 @@
 	handover struct {
 		ownership           // held; empty when nothing is handed over
 		number    uint64    // of the hold
+		since     time.Time // begin of the hold
 		drained   bool      // no work of what is held is in flight
 		sequence  uint64    // of the last grant sent before it was drained
 		notBefore time.Time // work of an earlier dispatcher may be in flight until then
@@ -69,11 +70,16 @@
 	if !h.empty() || g.share.leaving.empty() || now.Before(h.notBefore) {
 		return nil
 	}
+	return c.hold(v, server, h, g.share.leaving, now)
+}
+
+// hold stops new work of o; SlotsDrained answers.
+func (c *Core) hold(v *state.Service, server state.Server, h *handover, o ownership, now time.Time) []Effect {
 	c.holds++
-	h.ownership, h.number, h.drained = g.share.leaving, c.holds, false
+	h.ownership, h.number, h.since, h.drained = o, c.holds, now, false
 	return []Effect{HoldSlots{
 		Service: v.Name, Server: server.Row.Name, Hold: h.number, Ranges: h.slots, Keys: h.keys,
-		Limit: c.state.Configuration.Timing.DrainLimit.Std(),
+		Limit: c.timing().DrainLimit.Std(),
 	}}
 }
 
@@ -81,7 +87,7 @@
 func (c *Core) drained(e SlotsDrained, now time.Time) []Effect {
 	g, ok := c.grants[serverKey{service: e.Service, server: e.Server}]
 	v, configured := c.state.Services[e.Service]
-	if !ok || !configured || g.handover.empty() || e.Hold != g.handover.number || g.handover.drained {
+	if !ok || !configured || !c.holdsLease(now) || g.handover.empty() || e.Hold != g.handover.number || g.handover.drained {
 		return nil
 	}
 	g.handover.drained, g.handover.sequence = true, g.sequence
--- a/core/control/log.go
+++ b/core/control/log.go
@@ -30,6 +30,7 @@
 
 // read folds entries and publishes the new snapshot.
 func (c *Core) read(e RecordsRead, now time.Time) []Effect {
+	c.heardLog(now)
 	c.noteAnswer(now)
 	before := c.state.Next
 	end := e.First + uint64(len(e.Entries))
@@ -41,6 +42,7 @@
 		out = append(out, c.folded(f)...)
 	}
 	c.state = c.log.State
+	c.followMembers(now)
 	c.oldest = max(c.oldest, e.Oldest)
 	next := c.log.Next()
 	switch {
@@ -57,7 +59,7 @@
 
 func (c *Core) setTable() []Effect {
 	if t := route.NewTable(c.state); t != nil {
-		return []Effect{SetTable{Table: t}}
+		return []Effect{SetTable{Table: t.WithSelf(c.self)}}
 	}
 	return nil
 }
@@ -73,6 +75,7 @@
 		}
 	}
 	if f.Verdict == state.Accepted {
+		c.renewalRead(f.Record.ID)
 		return nil
 	}
 	return []Effect{Log{Message: "record not accepted", Detail: f.Record.ID + " " + f.Verdict.String() + " " + c.state.Reason()}}
@@ -89,7 +92,7 @@
 }
 
 // adopt takes the state of another instance when it is later than the own one.
-func (c *Core) adopt(e SnapshotReceived) []Effect {
+func (c *Core) adopt(e SnapshotReceived, now time.Time) []Effect {
 	s, err := state.Decode(e.Data)
 	if err != nil {
 		return []Effect{Log{Message: "snapshot of a peer not taken", Detail: err.Error()}}
@@ -98,6 +101,7 @@
 		return nil
 	}
 	c.state = c.log.State
+	c.followMembers(now)
 	return append(c.setTable(), ReadLog{From: c.log.Next()})
 }
 
@@ -108,12 +112,12 @@
 		if now.Before(p.due) {
 			return nil
 		}
-		c.pending[subject] = pending{record: p.record, tries: p.tries + 1, due: now.Add(retryWait(p.record.ID, p.tries+1))}
+		c.pending[subject] = pending{record: p.record, tries: p.tries + 1, made: p.made, due: now.Add(retryWait(p.record.ID, p.tries+1))}
 		return []Effect{Append{Record: p.record}}
 	}
 	c.sequence++
 	r := record.Record{ID: fmt.Sprintf("%s/%d", c.self, c.sequence), Writer: c.self, Since: c.state.Next, Body: body}
-	c.pending[subject] = pending{record: r, due: now.Add(retryWait(r.ID, 0))}
+	c.pending[subject] = pending{record: r, made: now, due: now.Add(retryWait(r.ID, 0))}
 	return []Effect{Append{Record: r}}
 }
 
--- a/router/dispatch/history.go
+++ b/router/dispatch/history.go
@@ -67,6 +67,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
+	previous := h.self // of a run that joined again; it kept its marks
+	h.self = t.Self
 	next := make(map[record.Writer]route.Member, len(t.Members))
 	for _, m := range t.Members {
 		next[m.Writer] = m
@@ -85,7 +87,7 @@
 	weak := h.mayBeWeak(now, weakGrace/2)
 	h.noteOneDomain(next, now)
 	for w, m := range h.members {
-		if _, ok := next[w]; !ok && w != h.self {
+		if _, ok := next[w]; !ok && w != h.self && w != previous {
 			h.depart(m, weak, now)
 		}
 	}
@@ -239,6 +241,13 @@
 	return out
 }
 
+// run returns the present run of this instance.
+func (h *history) run() record.Writer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.self
+}
+
 // own returns the member that this instance is.
 func (h *history) own() route.Member {
 	h.mu.Lock()
