--- a/lab/main.go
+++ b/lab/main.go
@@ -120,6 +120,7 @@
 	if err := verify(s, c, outcomes, o.platform); err != nil {
 		return err
 	}
+	s.CheckGap(o.gap)
 	if o.jsonFile != "" {
 		if err := s.Write(o.jsonFile); err != nil {
 			return err
--- a/lab/options.go
+++ b/lab/options.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"time"
+
 	"github.com/integrii/flaggy"
 )
 
@@ -14,6 +16,7 @@
 	profile  string
 	entries  string
 	jsonFile string
+	gap      time.Duration
 	journal  string
 	files    [2]string
 	slots    int
@@ -58,6 +61,7 @@
 	load.String(&o.profile, "", "profile", "what load to put on")
 	load.String(&o.entries, "", "entries", "addresses of the entries, with commas between")
 	load.String(&o.platform, "p", "platform", "URL of the platform stand-in, for the checks")
+	load.Duration(&o.gap, "", "longest-gap", "fail when a slot has a longer gap in service, for example 1s; 0s for no limit")
 	load.String(&o.jsonFile, "", "json", "file for the summary as JSON")
 
 	compare := command(p, "compare", "show two results side by side")
