Keep a key that is over the mean from blocking or stirring all other moves

Cause: with one key heavier than a server's mean load, the mean was out of reach for the others, so a server that joined got no share; and a base of a tenth of the capacity hid loads of a quarter of it. Change: such servers are set apart and own little else; the base is 0.02.

--- a/core/control/assign.go
+++ b/core/control/assign.go
@@ -31,7 +31,7 @@
 
 	// baseUtilisation is what idle slots count together, as a share of the
 	// capacity, so that idle slots are spread too.
-	baseUtilisation = 0.1
+	baseUtilisation = 0.02
 )
 
 type (
@@ -378,20 +378,65 @@
 // imbalance is over its bound, or has been and is not settled. It returns
 // whether more is to be done in the next interval.
 func (p *planner) balance(conf *config.Service, slots int, balancing bool) bool {
-	bins := p.accepting()
-	if len(bins) < 2 {
+	even, full := separate(p.accepting())
+	if len(even) == 0 {
 		return false
 	}
 	bound, settle, moves := limits(conf.Balance, slots)
-	if !balancing && !imbalanced(bins, bound) {
+	if !balancing && !imbalanced(even, full, bound) {
 		return false
 	}
-	for ; moves > 0 && imbalanced(bins, settle); moves-- {
-		if !p.moveOne(bins) {
+	for ; moves > 0 && imbalanced(even, full, settle); moves-- {
+		if !p.strip(even, full, settle) && !p.moveOne(even) {
 			return false
 		}
 	}
-	return imbalanced(bins, settle)
+	return imbalanced(even, full, settle)
+}
+
+// separate sets the full servers apart: those whose heaviest unit alone is over
+// the mean of all others. They can't be made even, and own little besides.
+func separate(bins []*bin) (even, full []*bin) {
+	even = bins
+	for {
+		m := mean(even)
+		i := slices.IndexFunc(even, func(b *bin) bool { return len(even) > 1 && b.heaviest() > m*b.capacity })
+		if i < 0 {
+			return even, full
+		}
+		full = append(full, even[i])
+		even = slices.Delete(slices.Clone(even), i, i+1)
+	}
+}
+
+func (b *bin) heaviest() float64 {
+	w := 0.0
+	for _, u := range b.units {
+		w = max(w, u.weight)
+	}
+	return w
+}
+
+// strip moves one unit off a full server that owns more besides its heaviest
+// unit than the share allows. It returns false when there is none.
+func (p *planner) strip(even, full []*bin, share float64) bool {
+	m := mean(even)
+	for _, b := range full {
+		most, next := b.heaviest(), -1
+		if b.load-most <= share*m*b.capacity {
+			continue
+		}
+		for i, u := range b.units {
+			if !u.moving && u.weight < most && (next < 0 || u.weight > b.units[next].weight) {
+				next = i
+			}
+		}
+		if next >= 0 {
+			p.move(b, next, p.least(even))
+			return true
+		}
+	}
+	return false
 }
 
 func limits(b config.Balance, slots int) (bound, settle float64, moves int) {
@@ -408,16 +453,17 @@
 	return bound, settle, moves
 }
 
-// imbalanced reports whether a server is further than bound from the mean
-// utilisation.
-func imbalanced(bins []*bin, bound float64) bool {
-	m := mean(bins)
-	for _, b := range bins {
+// imbalanced reports whether one of the even servers is further than bound from
+// their mean utilisation, or a full one owns more than that besides its
+// heaviest unit.
+func imbalanced(even, full []*bin, bound float64) bool {
+	m := mean(even)
+	for _, b := range even {
 		if u := b.utilisation(); u > m*(1+bound) || u < m*(1-bound) {
 			return true
 		}
 	}
-	return false
+	return slices.ContainsFunc(full, func(b *bin) bool { return b.load-b.heaviest() > bound*m*b.capacity })
 }
 
 // moveOne makes the one move that mends most. It returns false when no move
@@ -436,17 +482,22 @@
 		}
 		low := p.least(bins)
 		if i := high.pick(low); i >= 0 {
-			u := high.units[i]
-			high.units = slices.Delete(high.units, i, i+1)
-			high.load -= u.weight
-			p.domains[high.domain].load -= u.weight
-			p.give(u, low)
+			p.move(high, i, low)
 			return true
 		}
 		high.stuck = true
 	}
 }
 
+// move gives the unit of from with index i to another server.
+func (p *planner) move(from *bin, i int, to *bin) {
+	u := from.units[i]
+	from.units = slices.Delete(from.units, i, i+1)
+	from.load -= u.weight
+	p.domains[from.domain].load -= u.weight
+	p.give(u, to)
+}
+
 // pick returns the index of the unit to move from b to low: the one that
 // lowers the sum of load squared by capacity most, which is the one whose
 // weight is nearest to what makes both equal. It returns -1 when no unit
--- a/core/control/bench_test.go
+++ b/core/control/bench_test.go
@@ -2,14 +2,12 @@
 
 import (
 	"fmt"
-	"math"
-	"math/rand/v2"
+	"maps"
 	"runtime"
 	"slices"
 	"testing"
 	"time"
 
-	"bronzewind.example/core/config"
 	"bronzewind.example/core/keyspace"
 	"bronzewind.example/core/platform"
 	"bronzewind.example/core/record"
@@ -178,8 +176,8 @@
 	for b.Loop() {
 		base := size(1000, 1000, 1<<15)
 		b.ReportMetric((size(1000, 1000, 1<<16)-base)/(1<<15), "B/slot")
-		b.ReportMetric((size(1000, 1700, 1<<15)-base)/700, "B/server")
-		b.ReportMetric((size(1700, 1000, 1<<15)-base)/700, "B/instance")
+		b.ReportMetric((size(1000, 4000, 1<<15)-base)/3000, "B/server")
+		b.ReportMetric((size(4000, 1000, 1<<15)-base)/3000, "B/instance")
 		b.ReportMetric(size(fleetInstances, fleetServers, fleetSlots)/(1<<20), "MB/fleet")
 	}
 }
@@ -208,21 +206,6 @@
 	})
 }
 
-// zipfLoads draws the load of keys with Zipf's law, in requests running at once.
-func zipfLoads(keys int, exponent, total float64) map[keyspace.Hash]float64 {
-	out, sum := map[keyspace.Hash]float64{}, 0.0
-	random := rand.New(rand.NewPCG(1, 2))
-	for i := range keys {
-		l := math.Pow(float64(i+1), -exponent)
-		out[keyspace.Hash(random.Uint64())] = l
-		sum += l
-	}
-	for h := range out {
-		out[h] *= total / sum
-	}
-	return out
-}
-
 // imbalanceOf returns the largest load of a server as a multiple of the mean.
 func imbalanceOf(loads map[keyspace.Hash]float64, servers []string, owner func(keyspace.Hash) string) float64 {
 	by, sum := map[string]float64{}, 0.0
@@ -237,81 +220,18 @@
 	return most * float64(len(servers)) / sum
 }
 
-// simulated is a service whose loads are measured exactly and whose moves end
-// at once.
-type simulated struct {
-	v     *state.Service
-	conf  *config.Service
-	loads map[keyspace.Hash]float64
-	plan  planState
-}
-
-func newSimulated(servers []string, loads map[keyspace.Hash]float64) *simulated {
-	c := &config.Service{Name: "proofs", ServerSlots: 6, Slots: 4096}
-	s := &simulated{conf: c, loads: loads, plan: planState{cold: map[keyspace.Hash]time.Time{}}}
-	s.v = &state.Service{Servers: map[string]state.Server{}, Slots: make(state.Slots, c.Slots), Keys: map[keyspace.Hash]state.SlotRow{}}
-	for i, name := range servers {
-		s.add(name, i)
-	}
-	return s
-}
-
-func (s *simulated) add(name string, i int) {
-	s.v.Servers[name] = state.Server{Up: true, Row: record.ServerRow{Name: name, FailureDomain: fmt.Sprint(i % 6)}}
-}
-
-// round makes one round of moves, with the keys reported that dispatchers do.
-func (s *simulated) round(now time.Time) {
-	w := weights{slots: make([]float64, len(s.v.Slots)), keys: map[keyspace.Hash]float64{}}
-	for i := range w.slots {
-		w.slots[i] = baseWeight(s.v, s.conf)
-	}
-	for h, l := range s.loads {
-		if l > minHotLoad {
-			w.keys[h] = l
-		}
-		if !s.v.Hot(h) {
-			w.slots[h.Slot(len(s.v.Slots))] += l
-		}
-	}
-	if rows := s.plan.hotRows(s.v, w, now); len(rows) > 0 && s.v.Slots[0].Owner != "" {
-		s.apply(change{keys: rows})
-		return
-	}
-	p := newPlanner(s.v, s.conf, w)
-	p.place()
-	s.plan.balancing = p.balance(s.conf, len(s.v.Slots), s.plan.balancing)
-	s.apply(p.result())
-}
-
-func (s *simulated) apply(c change) {
-	for _, r := range c.ranges {
-		for i := r.First; i <= r.Last; i++ {
-			s.v.Slots[i] = state.SlotRow{Owner: r.Server}
-		}
-	}
-	for _, k := range c.keys {
-		if k.Server == "" {
-			delete(s.v.Keys, k.Hash)
-			continue
-		}
-		s.v.Keys[k.Hash] = state.SlotRow{Owner: k.Server}
-	}
-}
-
-func (s *simulated) owner(h keyspace.Hash) string { return s.v.Row(h).Owner }
-
 // BenchmarkPlacement compares the imbalance before and after a server joins,
 // and the share of keys that change their owner by that.
 func BenchmarkPlacement(b *testing.B) {
-	const keys, rounds = 200_000, 40
+	const keys, rounds, total = 200_000, 40, 40.0
 	for _, exponent := range []float64{0.8, 1.0, 1.1} {
 		var servers []string
 		for i := range 14 {
 			servers = append(servers, fmt.Sprintf("s%d", i))
 		}
 		more := append(slices.Clone(servers), "s14")
-		loads := zipfLoads(keys, exponent, 40)
+		loads := zipfLoads(keys, exponent, total)
+		largest := slices.Max(slices.Collect(maps.Values(loads)))
 		report := func(b *testing.B, before, after func(keyspace.Hash) string) {
 			churn := 0
 			for h := range loads {
@@ -322,6 +242,7 @@
 			b.ReportMetric(imbalanceOf(loads, servers, before), "imbalance-before")
 			b.ReportMetric(imbalanceOf(loads, more, after), "imbalance-after")
 			b.ReportMetric(float64(churn)/keys, "churn")
+			b.ReportMetric(largest*float64(len(more))/total, "largest-key-after")
 		}
 		for name, place := range map[string]placement{"modulo": modulo, "rendezvous": rendezvous} {
 			b.Run(fmt.Sprintf("zipf-%.1f/%s", exponent, name), func(b *testing.B) {
