--- a/core/state/fold.go
+++ b/core/state/fold.go
@@ -47,6 +47,9 @@
 	case record.ConfigurationPublished:
 		return s.publish(offset, b)
 	case record.InstanceJoined:
+		if old, ok := s.Members[r.Writer.Instance]; ok && old.Writer != r.Writer {
+			s.Departed++
+		}
 		s.Members[r.Writer.Instance] = Member{Writer: r.Writer, Joined: b}
 		return Accepted
 	case record.InstanceLeft:
@@ -65,6 +68,10 @@
 		return s.report(r.Writer, b)
 	case record.CheckpointPart:
 		return s.checkpoint(offset, r.Writer, b)
+	case record.Quarantined:
+		return s.quarantine(r.Writer, b)
+	case record.QuarantineReleased:
+		return s.releaseQuarantine(b)
 	default:
 		return Invalid
 	}
@@ -133,6 +140,7 @@
 		return Stale
 	}
 	delete(s.Members, w.Instance)
+	s.Departed++
 	return Accepted
 }
 
