--- a/core/control/grants.go
+++ b/core/control/grants.go
@@ -26,7 +26,11 @@
 	asked       time.Time
 	heard       time.Time
 	tried       time.Time
+	unanswered  int       // sent since the last answer in time
+	version     uint64    // of the service at the last grant
+	began       time.Time // of the role
 	lapsed      time.Time // by then every grant sent has surely lapsed
+	handing     bool      // the role is handed over, and all work held
 	leaving     bool      // as the backend server said last
 	handover    handover
 	share       share
@@ -50,91 +54,153 @@
 }
 
 func (c *Core) decideServer(v *state.Service, server state.Server, now time.Time) []Effect {
-	g := c.grant(v.Name, server, now)
+	g := c.grant(v, server, now)
 	g.share.update(v, server.Row.Name)
-	out := c.decideHandover(v, server, g, now)
-	if server.Up && now.After(g.lapsed) {
+	out := c.decideHolds(v, server, g, now)
+	switch {
+	case server.Up && g.unanswered >= silentRenewals && now.After(g.lapsed):
 		out = append(out, c.report(v, server, false, 0, now)...)
+	case server.Up && server.Handed && now.Sub(g.began) > c.earlierGrants(v, server):
+		out = append(out, c.report(v, server, true, server.Run, now)...)
 	}
-	if v.Removed || now.Sub(g.tried) < c.state.Configuration.Timing.GrantRenewal.Std() {
+	changed := g.incarnation != 0 && g.version != v.Version
+	if v.Removed || !changed && now.Sub(g.tried) < c.timing().GrantRenewal.Std() {
 		return out
 	}
 	return append(out, c.sendGrant(v, server, g, now))
 }
 
-// grant returns the grant state of server, new when the role is new: an
-// earlier dispatcher may have sent grants until just now.
-func (c *Core) grant(service string, server state.Server, now time.Time) *grantState {
-	key := serverKey{service: service, server: server.Row.Name}
+// decideHolds holds what moves away, or all work when the role is handed over.
+func (c *Core) decideHolds(v *state.Service, server state.Server, g *grantState, now time.Time) []Effect {
+	if c.state.IsMember(server.Row.Next) {
+		return c.handRole(v, server, g, now)
+	}
+	if g.handing {
+		g.handing, g.handover.ownership = false, ownership{}
+	}
+	return c.decideHandover(v, server, g, now)
+}
+
+// grant returns the grant state of server, new when the role is new: the
+// grants and the work of an earlier dispatcher may not have ended.
+func (c *Core) grant(v *state.Service, server state.Server, now time.Time) *grantState {
+	key := serverKey{service: v.Name, server: server.Row.Name}
 	g, ok := c.grants[key]
 	if !ok || g.epoch != server.Epoch {
-		g = &grantState{epoch: server.Epoch, lapsed: now.Add(c.surely(2 * c.ttl()))}
+		g = &grantState{epoch: server.Epoch, began: now, lapsed: now.Add(c.earlierGrants(v, server))}
 		if server.Up {
-			g.handover.notBefore = now.Add(c.surely(c.patience(service)))
+			g.handover.notBefore = now.Add(c.surely(c.patience(v.Name)))
 		}
 		c.grants[key] = g
 	}
 	return g
 }
 
+// earlierGrants returns the time from the begin of a role after which all that
+// earlier dispatchers granted or sent has surely ended. Their grants last no
+// longer than their leases but for the error of their reading of the backend
+// server's clock; the role began after the lease, unless it was handed over.
+func (c *Core) earlierGrants(v *state.Service, server state.Server) time.Duration {
+	if !c.checks(v.Name) {
+		return c.surely(c.patience(v.Name))
+	}
+	wait := c.surely(c.clockError()) + c.surely(2*c.ttl()) - 2*c.ttl()
+	if server.Handed {
+		wait += c.surely(c.ttl())
+	}
+	return wait
+}
+
+// clockError bounds the error of a reading of a backend server's clock: an
+// answer that takes longer is not used as one.
+func (c *Core) clockError() time.Duration { return c.timing().GrantRenewal.Std() }
+
 // sendGrant asks for the clock of a backend server that is not known yet or
 // fell silent, and otherwise grants the slots that it owns, but for drained
-// ones. A silent server is sent no grant, since each would put off the time by
-// which all have surely lapsed.
+// ones, until the end of the own lease at most. A silent server is sent no
+// grant, since each would put off the time by which all have surely lapsed.
 func (c *Core) sendGrant(v *state.Service, server state.Server, g *grantState, now time.Time) Effect {
 	g.tried = now
 	g.sequence++
+	g.unanswered++
+	g.version = v.Version
 	grant := backend.Grant{Service: v.Name, Server: server.Row.Name, Epoch: g.epoch, Sequence: g.sequence}
-	silent := now.Sub(g.heard) > silentRenewals*c.state.Configuration.Timing.GrantRenewal.Std()
-	if g.incarnation != 0 && !silent {
+	silent := now.Sub(g.heard) > silentRenewals*c.timing().GrantRenewal.Std()
+	ttl := min(c.ttl(), c.leaseUntil().Sub(now))
+	if g.incarnation != 0 && !silent && ttl > 0 && c.checks(v.Name) {
 		grant.Incarnation = g.incarnation
-		grant.UntilMicros = g.clock + (now.Sub(g.asked) + c.ttl()).Microseconds()
-		g.share.update(v, server.Row.Name)
-		g.handover.fill(&grant, &g.share, len(v.Slots))
-		if lapsed := g.heard.Add(c.surely(now.Sub(g.asked) + c.ttl())); lapsed.After(g.lapsed) {
+		grant.UntilMicros = g.clock + (now.Sub(g.asked) + ttl).Microseconds()
+		c.fillGrant(&grant, v, server, g)
+		if lapsed := g.heard.Add(c.surely(now.Sub(g.asked) + ttl)); lapsed.After(g.lapsed) {
 			g.lapsed = lapsed
 		}
 	}
-	return SendGrant{Address: server.Row.Address, Grant: grant}
+	return SendGrant{Address: server.Row.Address, Grant: grant, Checks: c.checks(v.Name)}
+}
+
+// fillGrant writes what the server owns into grant. A role that is handed over
+// keeps the server's grant as it is; the next dispatcher replaces it.
+func (c *Core) fillGrant(grant *backend.Grant, v *state.Service, server state.Server, g *grantState) {
+	g.share.update(v, server.Row.Name)
+	if g.handing {
+		grant.Slots, grant.Keys, grant.Except = g.share.slots, g.share.keys, g.share.except
+		return
+	}
+	g.handover.fill(grant, &g.share, len(v.Slots))
 }
 
 func (c *Core) grantAnswered(e GrantAnswered, now time.Time) []Effect {
 	g, ok := c.grants[serverKey{service: e.Service, server: e.Server}]
-	if !ok || g.epoch != e.Epoch || e.Err != "" {
+	if !ok || g.epoch != e.Epoch || e.Err != "" || !c.holdsLease(now) {
 		return nil
 	}
 	v := c.state.Services[e.Service]
 	server := v.Servers[e.Server]
-	g.leaving = e.Answer.Leaving
+	late := now.Sub(e.Sent) > c.clockError()
+	if !late {
+		g.unanswered, g.leaving = 0, e.Answer.Leaving
+	}
 	if g.incarnation != e.Answer.Incarnation {
 		return c.newRun(v, server, g, e, now)
 	}
 	asked, clock := g.asked, g.clock
-	if e.Sent.After(g.asked) {
+	if e.Sent.After(g.asked) && !late {
 		g.asked, g.heard, g.clock = e.Sent, now, e.Answer.ClockMicros
 	}
+	if !c.checks(e.Service) {
+		return c.uncheckedAnswered(v, server, g, e, now)
+	}
 	if !e.Answer.Accepted || e.Grant.Incarnation == 0 {
 		return nil
 	}
 	valid := time.Duration(e.Grant.UntilMicros-clock) * time.Microsecond
-	out := []Effect{Authorize{
-		Service: e.Service, Server: e.Server, Epoch: g.epoch, Incarnation: g.incarnation,
-		Until: asked.Add(c.atMost(valid)), Granted: e.Grant.Slots, Held: g.handover.slots,
-		Keys: e.Grant.Keys, Except: e.Grant.Except, HeldKeys: g.handover.keys,
-	}}
+	out := []Effect{c.authorize(g, e.Grant, asked.Add(c.atMost(valid)))}
 	if !server.Up || server.Leaving != g.leaving {
 		out = append(out, c.report(v, server, true, g.incarnation, now)...)
 	}
-	if g.handover.revokedBy(e.Grant, len(v.Slots)) {
+	if !g.handing && g.handover.revokedBy(e.Grant, len(v.Slots)) {
 		out = append(out, c.release(v, server, g, now)...)
 	}
 	return out
 }
 
+// authorize lets the local dispatcher send the work that grant gives, until
+// the end of the grant or of the own lease.
+func (c *Core) authorize(g *grantState, grant backend.Grant, until time.Time) Effect {
+	if lease := c.leaseUntil(); lease.Before(until) {
+		until = lease
+	}
+	return Authorize{
+		Service: grant.Service, Server: grant.Server, Epoch: g.epoch, Incarnation: g.incarnation,
+		Until: until, Granted: grant.Slots, Held: g.handover.slots,
+		Keys: grant.Keys, Except: grant.Except, HeldKeys: g.handover.keys,
+	}
+}
+
 // newRun takes up a backend server that is seen for the first time or has
 // restarted: the grants of its earlier run are void.
 func (c *Core) newRun(v *state.Service, server state.Server, g *grantState, e GrantAnswered, now time.Time) []Effect {
-	if e.Sent.Before(g.asked) {
+	if !e.Sent.After(g.asked) || now.Sub(e.Sent) > c.clockError() {
 		return nil
 	}
 	restarted := server.Up && server.Run != e.Answer.Incarnation
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -22,6 +22,7 @@
 		Members       []Member              // in order of name
 		Departed      uint64                // memberships that ended so far
 		Quarantine    []record.Quarantined  // not to be changed
+		Self          record.Writer         // the run that reads the snapshot; it changes when an instance joins again
 		services      map[string]*Service
 	}
 
@@ -93,6 +94,13 @@
 	return t
 }
 
+// WithSelf returns the snapshot as the run self reads it.
+func (t *Table) WithSelf(self record.Writer) *Table {
+	out := *t
+	out.Self = self
+	return &out
+}
+
 func newService(s *state.State, c *config.Service, v *state.Service) *Service {
 	names := v.ServerNames()
 	index := make(map[string]uint16, len(names))
--- a/core/state/fold.go
+++ b/core/state/fold.go
@@ -47,15 +47,19 @@
 	case record.ConfigurationPublished:
 		return s.publish(offset, b)
 	case record.InstanceJoined:
-		if old, ok := s.Members[r.Writer.Instance]; ok && old.Writer != r.Writer {
-			s.Departed++
-		}
-		s.Members[r.Writer.Instance] = Member{Writer: r.Writer, Joined: b}
-		return Accepted
+		return s.join(r.Writer, b)
 	case record.InstanceLeft:
 		return s.removeMember(r.Writer)
 	case record.InstanceLost:
-		return s.removeMember(b.Member)
+		return s.lose(b)
+	case record.LeaseRenewed:
+		return s.renewLease(r.Writer)
+	case record.WitnessesNamed:
+		return s.nameWitnesses(b)
+	case record.InstanceLeaving:
+		return s.startLeaving(r.Writer)
+	case record.DispatcherReleased:
+		return s.releaseDispatcher(r.Writer, b)
 	case record.CoordinatorClaimed:
 		return s.claim(r.Writer, b)
 	case record.ServersPlaced:
@@ -141,6 +145,7 @@
 	}
 	delete(s.Members, w.Instance)
 	s.Departed++
+	s.MembersChanged = s.Next
 	return Accepted
 }
 
@@ -187,7 +192,7 @@
 	v.names = nil
 	for _, row := range b.Servers {
 		old := v.Servers[row.Name]
-		next := Server{Row: row, Epoch: old.Epoch, Up: old.Up, Run: old.Run, Leaving: old.Leaving}
+		next := Server{Row: row, Epoch: old.Epoch, Up: old.Up, Run: old.Run, Leaving: old.Leaving, Handed: old.Handed}
 		if old.Row.Dispatcher != row.Dispatcher {
 			next.Epoch = v.Version
 		}
@@ -220,7 +225,7 @@
 		return s.refuse(Stale, "%s does not dispatch to server %s under epoch %d", w, b.Server, b.Epoch)
 	}
 	v.Version++
-	server.Up, server.Run, server.Leaving = b.Up, b.Incarnation, b.Leaving
+	server.Up, server.Run, server.Leaving, server.Handed = b.Up, b.Incarnation, b.Leaving, false
 	v.Servers[b.Server] = server
 	if !b.Up {
 		v.freeAll(b.Server)
