Forget a wrong configured service time soon

Cause: with a configured service time of 8 ms where requests took 50 ms, the long-term mean lagged the recent one, which was taken for a server that slows: half the slots were closed at a load of 0.6.

Change: the first samples of an estimate count equally.

--- a/router/dispatch/estimate.go
+++ b/router/dispatch/estimate.go
@@ -20,18 +20,23 @@
 	mean      time.Duration // above 0
 	deviation time.Duration // mean absolute difference from mean
 	base      time.Duration // long-term mean; above 0
+	samples   int64         // up to baseGain; the configured time counts as one
 }
 
 func newEstimate(configured time.Duration) estimate {
-	return estimate{mean: configured, deviation: configured / 4, base: configured}
+	return estimate{mean: configured, deviation: configured / 4, base: configured, samples: 1}
 }
 
+// observe takes in one service time. The first ones count equally, so that a
+// configured time that is wrong is soon forgotten.
 func (e *estimate) observe(d time.Duration) {
 	d = max(d, time.Microsecond)
+	e.samples = min(e.samples+1, baseGain)
+	gain := time.Duration(min(e.samples, meanGain))
 	off := d - e.mean
-	e.mean = max(e.mean+off/meanGain, time.Microsecond)
-	e.deviation += (max(off, -off) - e.deviation) / meanGain
-	e.base = max(e.base+(d-e.base)/baseGain, time.Microsecond)
+	e.mean = max(e.mean+off/gain, time.Microsecond)
+	e.deviation += (max(off, -off) - e.deviation) / gain
+	e.base = max(e.base+(d-e.base)/time.Duration(e.samples), time.Microsecond)
 }
 
 // cautious returns a time within which most requests are served.
--- a/router/dispatch/queue_test.go
+++ b/router/dispatch/queue_test.go
@@ -299,3 +299,22 @@
 		}
 	}
 }
+
+// A configured service time that is wrong isn't taken for a server that slows.
+func TestWrongServiceTimeIsForgotten(t *testing.T) {
+	e := newEstimate(8 * ms)
+	for i := range 300 {
+		if e.observe(50 * ms); e.slowness() > slowRatio {
+			t.Fatalf("slowness %.1f after %d samples, want at most %.1f", e.slowness(), i+1, slowRatio)
+		}
+	}
+	if e.mean < 45*ms {
+		t.Errorf("mean %s after 300 samples of 50 ms", e.mean)
+	}
+	for range 20 {
+		e.observe(200 * ms)
+	}
+	if e.slowness() <= slowRatio {
+		t.Errorf("slowness %.1f after the service time rose fourfold, want over %.1f", e.slowness(), slowRatio)
+	}
+}
