--- a/router/daemon/daemon.go
+++ b/router/daemon/daemon.go
@@ -39,6 +39,8 @@
 	eventBuffer  = 1024
 	appendBuffer = 256
 	drainLimit   = 30 * time.Second
+
+	handOverLimit = 5 * time.Second
 )
 
 type (
@@ -56,11 +58,15 @@
 		core     *control.Core // used by the control goroutine alone
 		events   chan control.Event
 		appends  chan record.Record
+		readFrom chan uint64 // holds the last offset asked for
+		encoded  chan chan<- encodedState
+		last     encodedState // used by the control goroutine alone
 		entry    *caller.Server
 		dispatch *dispatch.Set
 		client   *peer.Client
 		table    atomic.Pointer[route.Table]
 		ready    atomic.Bool
+		draining atomic.Bool
 		status   atomic.Pointer[status]
 	}
 
@@ -91,13 +97,17 @@
 			Region: s.Region, FailureDomain: s.FailureDomain, Control: s.Control,
 			Forward: s.Forward, Admin: s.Admin, Fingerprint: identity.Fingerprint(),
 		}),
-		events:  make(chan control.Event, eventBuffer),
-		appends: make(chan record.Record, appendBuffer),
-		client:  peer.NewClient(identity),
-		grants:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		events:   make(chan control.Event, eventBuffer),
+		appends:  make(chan record.Record, appendBuffer),
+		readFrom: make(chan uint64, 1),
+		encoded:  make(chan chan<- encodedState),
+		client:   peer.NewClient(identity),
+		grants:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
 	}
 	d.dispatch = dispatch.NewSet(self,
 		dispatch.WithTracer(tracing.tracer),
+		dispatch.WithMarkPeers(d.client),
+		dispatch.WithQuarantine(func(q record.Quarantined) { go func() { d.events <- control.CrashFound{Quarantine: q} }() }),
 		dispatch.WithDrained(func(e control.SlotsDrained) { d.events <- e }))
 	publish("dispatch", d.dispatch.Metrics())
 	d.entry = caller.NewServer(self, d.dispatch, d.client, d.log, caller.WithTracer(tracing.tracer))
@@ -121,6 +131,8 @@
 		{"log reader", d.followLog},
 		{"log writer", d.writeLog},
 		{"list reader", d.followList},
+		{"load reader", d.followLoad},
+		{"peer reader", d.askPeers},
 		{"admin", d.serveAdmin},
 		{"forward", d.serveForward},
 	}
@@ -138,8 +150,11 @@
 	select {
 	case <-ctx.Done():
 		d.log.Info("draining")
+		d.draining.Store(true)
+		d.entry.AskToMove()
 		stopEntry()
 		errs = append(errs, <-ended)
+		d.handOverMarks(run)
 	case err := <-ended:
 		errs = append(errs, err)
 	}
@@ -147,12 +162,22 @@
 	for left--; left > 0; left-- {
 		errs = append(errs, <-ended)
 	}
+	d.dispatch.Close()
 	d.client.Close()
 	d.tracing.close()
 	d.log.Info("stopped")
 	return errors.Join(errs...)
 }
 
+// handOverMarks gives the start marks of once-only work to other instances.
+func (d *Daemon) handOverMarks(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverLimit)
+	defer cancel()
+	if err := d.dispatch.HandOver(ctx); err != nil {
+		d.log.Warn("repeats of once-only work may be answered unknown", "error", err)
+	}
+}
+
 func wrap(part string, err error) error {
 	if err == nil {
 		return nil
@@ -171,6 +196,9 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case to := <-d.encoded:
+			to <- d.encode()
+			continue
 		case e = <-d.events:
 		case <-ticker.C:
 			e = control.Ticked{}
@@ -191,6 +219,8 @@
 		default:
 			d.log.Warn("append queue full", "record", e.Record.ID)
 		}
+	case control.ReadLog:
+		d.readLogFrom(e.From)
 	case control.SendGrant:
 		grants.Go(func() { d.sendGrant(ctx, e) })
 	case control.SetTable:
@@ -209,7 +239,7 @@
 }
 
 func (d *Daemon) serveForward(ctx context.Context) error {
-	server := peer.NewServer(d.identity, d.dispatch, d.trusted, d.kind, d.log)
+	server := peer.NewServer(d.identity, d.dispatch, d.trusted, d.kind, d.log, peer.WithSnapshot(d.snapshot))
 	done := make(chan error, 1)
 	server.Serve(ctx, d.settings.Forward, done)
 	return <-done
--- a/router/dispatch/queue.go
+++ b/router/dispatch/queue.go
@@ -151,8 +151,8 @@
 }
 
 // pop takes out the job that starts next, and counts it as running; nil when
-// nothing may start. Jobs whose slot may not start are parked.
-func (q *queue) pop(now time.Time, startable func(keyspace.Slot) bool) *job {
+// nothing may start. Jobs that may not start are parked.
+func (q *queue) pop(now time.Time, startable func(*job) bool) *job {
 	q.age(now)
 	for q.running < q.capacity {
 		k := q.next(now)
@@ -160,7 +160,7 @@
 			return nil
 		}
 		j := k.first()
-		if !startable(j.slot) {
+		if !startable(j) {
 			q.park(j)
 			continue
 		}
@@ -267,17 +267,20 @@
 	j.kind.settle()
 }
 
-// unpark brings back the parked jobs of slots that may start again.
-func (q *queue) unpark(now time.Time, startable func(keyspace.Slot) bool) {
+// unpark brings back the parked jobs that may start again.
+func (q *queue) unpark(now time.Time, startable func(*job) bool) {
 	for slot, jobs := range q.bySlot {
-		if !startable(slot) {
-			continue
-		}
-		delete(q.bySlot, slot)
 		for j := range jobs {
+			if !startable(j) {
+				continue
+			}
+			delete(jobs, j)
 			q.parked.remove(j)
 			q.enter(j, now)
 		}
+		if len(jobs) == 0 {
+			delete(q.bySlot, slot)
+		}
 	}
 }
 
--- a/router/dispatch/send.go
+++ b/router/dispatch/send.go
@@ -19,22 +19,38 @@
 )
 
 // send runs a started job on the backend server. The slot is freed when the
-// answer's body is closed, or when there is no answer.
+// answer's body is closed, or when there is no answer. Once-only work runs to
+// its end when its caller goes away, so that a repeat learns what became of it.
 func (d *Dispatcher) send(ctx context.Context, j *job) (*Answer, error) {
+	if j.request.mark != nil {
+		ctx = context.WithoutCancel(ctx)
+	}
 	ctx, cancel := context.WithDeadline(ctx, j.request.Deadline)
 	ctx, span := d.set.tracer.Start(ctx, "dispatch", trace.WithAttributes(
 		attribute.String("server", j.request.Server), attribute.Int("slot", int(j.slot))))
-	var once sync.Once
-	end := func() {
+	var (
+		once sync.Once
+		f    *flight // nil before the request may be sent
+	)
+	end := func(broke bool) {
 		once.Do(func() {
+			if f != nil {
+				broke = broke && ctx.Err() == nil
+				d.watch.leave(f, broke, broke && d.set.probe(d.address()))
+			}
 			span.End()
 			cancel()
 			d.finish(j)
 		})
 	}
+	f, err := d.prepare(ctx, j.request)
+	if err != nil {
+		end(false)
+		return nil, err
+	}
 	resp, err := d.roundTrip(ctx, j)
 	if err != nil {
-		end()
+		end(isReset(err))
 		return nil, err
 	}
 	d.judge(j, resp)
@@ -42,6 +58,31 @@
 	return answer, timedOut(ctx, err)
 }
 
+// prepare returns once r may be sent: its mark is placed, and it doesn't run
+// beside a request that may crash the backend server.
+func (d *Dispatcher) prepare(ctx context.Context, r *Request) (*flight, error) {
+	f, err := d.watch.enter(ctx, r)
+	if err != nil || r.mark == nil {
+		return f, err
+	}
+	if err := d.place(ctx, r); err != nil {
+		d.watch.leave(f, false, false)
+		return nil, err
+	}
+	return f, nil
+}
+
+func (d *Dispatcher) address() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.server.Address
+}
+
+func isReset(err error) bool {
+	var e *code.Error
+	return errors.As(err, &e) && e.Code == code.BackendReset
+}
+
 // roundTrip returns an answer that belongs to j and whose end can be told.
 func (d *Dispatcher) roundTrip(ctx context.Context, j *job) (*http.Response, error) {
 	var a attempt
@@ -52,9 +93,11 @@
 	}
 	resp, err := d.transport.RoundTrip(req)
 	if err != nil {
+		j.request.bodyRead = body.seal() || j.request.bodyRead
 		return nil, failure(ctx, err, a.unwritten(), body.failed())
 	}
 	if e := d.check(req, resp); e != nil {
+		j.request.bodyRead = body.seal() || j.request.bodyRead
 		if e.Code != code.RefusedByBackend {
 			a.discard()
 		}
@@ -108,6 +151,9 @@
 	req.Header.Set(backend.EpochHeader, strconv.FormatUint(epoch, 10))
 	req.Header.Set(backend.SlotHeader, strconv.FormatUint(uint64(j.slot), 10))
 	req.Header.Set(backend.HashHeader, strconv.FormatUint(uint64(r.Hash), 16))
+	if r.IdempotencyKey != "" {
+		req.Header.Set(backend.IdempotencyHeader, r.IdempotencyKey)
+	}
 	req.Header.Set(backend.SequenceHeader, fmt.Sprintf("%s.%d.%d", server.Name, epoch, j.arrived))
 	return req, nil
 }
@@ -145,7 +191,10 @@
 // onceReader is a body that net/http can't read a second time.
 type onceReader struct {
 	r      io.Reader // nil when there is no body
+	began  atomic.Bool
+	sealed atomic.Bool
 	broken atomic.Bool
+	mu     sync.Mutex // held by a read
 }
 
 // Read implements io.Reader.
@@ -153,6 +202,12 @@
 	if o.r == nil {
 		return 0, io.EOF
 	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.began.Store(true)
+	if o.sealed.Load() {
+		return 0, io.ErrClosedPipe
+	}
 	n, err := o.r.Read(p)
 	if err != nil && !errors.Is(err, io.EOF) {
 		o.broken.Store(true)
@@ -160,5 +215,17 @@
 	return n, err
 }
 
+// seal lets no further read begin, since net/http may still read after it gave
+// an error, and reports whether one was begun. It waits only for reads from
+// memory.
+func (o *onceReader) seal() bool {
+	o.sealed.Store(true)
+	if _, ok := o.r.(io.Seeker); ok {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+	}
+	return o.began.Load()
+}
+
 // failed reports whether the source of the body broke.
 func (o *onceReader) failed() bool { return o.broken.Load() }
--- a/router/dispatch/set.go
+++ b/router/dispatch/set.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
@@ -33,12 +34,29 @@
 
 		mu      sync.Mutex                                // held to change servers
 		servers atomic.Pointer[map[serverKey]*Dispatcher] // the map is immutable
+
+		heldMu sync.Mutex
+		held   map[epochKey]time.Time // first once-only work under an epoch; guarded by heldMu
+
+		runs      atomic.Uint64 // number of the last mark
+		retention time.Duration // of marks
+		peers     MarkPeers
+		marks     *Marks
+		history   *history
+		replicas  *replicas
+		suspects  *suspects
+		probe     func(address string) bool // whether nothing listens there
 	}
 
 	// Option changes a Set at its construction.
 	Option func(*Set)
 
 	serverKey struct{ service, server string }
+
+	epochKey struct {
+		service string
+		epoch   uint64
+	}
 )
 
 // WithClock sets the clock; the default is the system's.
@@ -53,6 +71,20 @@
 // WithDrained sets what is called when held slots have no work in flight.
 func WithDrained(f func(control.SlotsDrained)) Option { return func(s *Set) { s.drained = f } }
 
+// WithMarkPeers sets how the mark tables of other instances are reached; the
+// default keeps marks on this instance alone.
+func WithMarkPeers(p MarkPeers) Option { return func(s *Set) { s.peers = p } }
+
+// WithMarkRetention sets how long start marks are kept; the default is ten
+// minutes.
+func WithMarkRetention(d time.Duration) Option { return func(s *Set) { s.retention = d } }
+
+// WithQuarantine sets what is called to quarantine a request that crashed
+// backend servers in the whole fleet.
+func WithQuarantine(f func(record.Quarantined)) Option {
+	return func(s *Set) { s.suspects.report = f }
+}
+
 // NewSet returns the dispatchers of the instance self; it has none until
 // SetTable names some.
 func NewSet(self record.Writer, options ...Option) *Set {
@@ -61,18 +93,31 @@
 		clock:   clock.System{},
 		tracer:  noop.NewTracerProvider().Tracer(""),
 		drained: func(control.SlotsDrained) {},
-		metrics: newMetrics(),
+		held:    map[epochKey]time.Time{}, retention: defaultMarkRetention,
+		probe: refusesConnections, metrics: newMetrics(),
 	}
 	s.servers.Store(&map[serverKey]*Dispatcher{})
+	s.suspects = newSuspects(s.clock)
 	for _, o := range options {
 		o(s)
 	}
+	s.suspects.clock = s.clock
+	s.marks = newMarks(s.clock, s.retention, maxMarks)
+	s.history = newHistory(self, s.clock, s.retention)
+	s.suspects.tell = func(n SuspectNote) { s.replicas.tellSuspect(n) }
+	s.replicas = &replicas{
+		suspects: s.suspects,
+		self:     self, clock: s.clock, peers: s.peers, marks: s.marks, history: s.history, stop: make(chan struct{}),
+	}
 	return s
 }
 
 // SetTable starts and stops dispatchers after the new snapshot.
 func (s *Set) SetTable(t *route.Table) {
 	s.table.Store(t)
+	s.history.setTable(t)
+	s.replicas.greet()
+	s.setQuarantined(t)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old, servers := s.all(), map[serverKey]*Dispatcher{}
@@ -89,6 +134,15 @@
 	}
 }
 
+// setQuarantined takes in the quarantines of t.
+func (s *Set) setQuarantined(t *route.Table) {
+	keys := make(map[quarantineKey]time.Time, len(t.Quarantine))
+	for _, q := range t.Quarantine {
+		keys[quarantineKey{service: q.Service, print: Fingerprint(q.Fingerprint)}] = time.UnixMilli(q.UntilMillis)
+	}
+	s.suspects.setQuarantined(keys)
+}
+
 // addService adds the dispatchers of v that are this instance's, with the new
 // snapshot: those of old where there are any. s.mu is held.
 func (s *Set) addService(servers, old map[serverKey]*Dispatcher, v *route.Service, callers []config.Caller) {
@@ -135,6 +189,12 @@
 	return answer, err
 }
 
+// ServeMark answers a call of another instance's mark table.
+func (s *Set) ServeMark(c MarkCall) MarkReply { return s.replicas.serve(c) }
+
+// HandOver gives the start marks to other instances before this one leaves.
+func (s *Set) HandOver(ctx context.Context) error { return s.replicas.handOver(ctx) }
+
 // Close ends all dispatchers; queued requests are answered that they did not run.
 func (s *Set) Close() {
 	s.mu.Lock()
@@ -144,6 +204,7 @@
 	for _, d := range old {
 		d.close()
 	}
+	s.replicas.close()
 }
 
 func (s *Set) dispatcher(service, server string) (*Dispatcher, bool) {
