--- a/router/dispatch/queue_test.go
+++ b/router/dispatch/queue_test.go
@@ -172,7 +172,7 @@
 		c.Kinds[3].Floor = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "floor")
 		q := newQueue(&c, []config.Caller{{Name: "capped", Cap: 5}})
 		now, held := epoch, keyspace.Slot(9)
-		startable := func(s keyspace.Slot) bool { return s != held }
+		startable := func(j *job) bool { return j.slot != held }
 		in, running := map[*job]bool{}, []*job{}
 		t.Repeat(map[string]func(*rapid.T){
 			"push": func(t *rapid.T) {
@@ -283,7 +283,7 @@
 					}
 				}
 				add(parked, 1)
-				startable := func(s keyspace.Slot) bool { return s != 1 }
+				startable := func(j *job) bool { return j.slot != 1 }
 				if j := q.pop(epoch, startable); j != nil {
 					b.Fatal("a held job started")
 				}
