Start once-only work while one failure domain is silent

Change: the question goes out before the queue; silent and departed members together may be of one failure domain, since every mark stands in two. A copy counts as soon as one instance of another failure domain keeps it, and a member that did not answer is not called for 200ms.

--- a/router/dispatch/history.go
+++ b/router/dispatch/history.go
@@ -193,6 +193,31 @@
 	return k
 }
 
+// covered reports whether every mark of the retention time stands at a member
+// besides silent: those, and the ones that departed, are of one failure domain,
+// and placed no weak marks.
+func (h *history) covered(silent []route.Member) bool {
+	if len(silent) == 0 {
+		return true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock.Now()
+	domains := map[string]bool{}
+	for _, d := range h.departed {
+		if now.Sub(d.at) < h.retention {
+			domains[d.domain] = true
+		}
+	}
+	for _, m := range silent {
+		domains[m.FailureDomain] = true
+		if h.unmet[m.Writer] || h.weak[m.Writer].After(now) {
+			return false
+		}
+	}
+	return len(domains) == 1 && h.oneDomain.IsZero()
+}
+
 // doubt returns the time up to which marks that were placed may be lost; false
 // when none are.
 func (h *history) doubt() (from time.Time, any bool) {
--- a/router/dispatch/once.go
+++ b/router/dispatch/once.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bronzewind.example/core/code"
+	"bronzewind.example/core/keyspace"
 )
 
 const maxIdempotencyKeyBytes = 256
@@ -38,7 +39,7 @@
 		return repeat(*found, m)
 	}
 	r.mark = &m
-	answer, err := d.enqueueAndSend(ctx, r)
+	answer, err := d.runOnce(ctx, r)
 	var earlier *earlierRunError
 	if errors.As(err, &earlier) {
 		d.set.marks.adopt(m, earlier.mark)
@@ -48,19 +49,33 @@
 	return answer, err
 }
 
+func (d *Dispatcher) runOnce(ctx context.Context, r *Request) (*Answer, error) {
+	if err := d.search(ctx, r); err != nil {
+		return nil, err
+	}
+	return d.enqueueAndSend(ctx, r)
+}
+
 func (d *Dispatcher) newMark(r *Request) Mark {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	epoch := d.server.Epoch
-	if _, owned, ok := d.service.Lookup(r.Hash); ok {
-		epoch = max(epoch, owned)
-	}
 	return Mark{
 		MarkKey: MarkKey{Service: r.Service, Hash: r.Hash, Key: r.IdempotencyKey},
-		Epoch:   epoch, Run: d.set.runs.Add(1), Print: printOf(r),
+		Epoch:   d.rightTo(r.Hash), Run: d.set.runs.Add(1), Print: printOf(r),
 	}
 }
 
+// rightTo returns the epoch under which the dispatcher may run work of the key
+// with hash h; it grows when the owner of the key or the dispatcher changes.
+// d.mu is held.
+func (d *Dispatcher) rightTo(h keyspace.Hash) uint64 {
+	epoch := d.server.Epoch
+	if _, owned, ok := d.service.Lookup(h); ok {
+		epoch = max(epoch, owned)
+	}
+	return epoch
+}
+
 // printOf tells two requests with the same idempotency key apart.
 func printOf(r *Request) uint64 {
 	h := xxhash.New()
@@ -136,42 +151,44 @@
 	d.set.replicas.tellEnd(PutMark, m)
 }
 
-// place makes sure that no earlier run of r was started, and places its mark
-// at peers, before the first byte of r is sent.
-func (d *Dispatcher) place(ctx context.Context, r *Request) error {
-	m := *r.mark
-	if err := d.set.tooOld(r); err != nil || d.set.peers == nil {
+// search makes sure that no earlier run of r was started under another epoch.
+func (d *Dispatcher) search(ctx context.Context, r *Request) error {
+	if err := d.set.tooOld(r); err != nil || d.set.peers == nil || d.set.longHeld(*r.mark) {
 		return err
 	}
-	if !d.set.longHeld(m) {
-		found, err := d.set.replicas.find(ctx, m)
-		if err != nil {
-			return err
-		}
-		if found != nil {
-			return &earlierRunError{mark: *found}
-		}
-		if err := d.set.rule(r); err != nil {
-			return err
-		}
+	found, err := d.set.replicas.find(ctx, *r.mark)
+	switch {
+	case err != nil:
+		return err
+	case found != nil:
+		return &earlierRunError{mark: *found}
+	default:
+		return d.set.rule(r)
+	}
+}
+
+// place puts the mark of r at peers before the first byte of r is sent.
+func (d *Dispatcher) place(ctx context.Context, r *Request) error {
+	if d.set.peers == nil {
+		return nil
 	}
-	found, err := d.set.replicas.put(ctx, m)
+	found, err := d.set.replicas.put(ctx, *r.mark)
 	if err != nil {
 		return err
 	}
 	if found != nil {
 		return &earlierRunError{mark: *found}
 	}
-	return d.stillHeld(m)
+	return d.stillHeld(*r.mark)
 }
 
 // stillHeld returns an error when the dispatcher's right to the key of m ended
-// while the mark was placed.
+// or changed since m was made.
 func (d *Dispatcher) stillHeld(m Mark) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.closed || !d.set.clock.Now().Before(d.until) {
-		return code.NewError(code.StaleRoute, "the grant ended while the start mark was placed")
+	if d.closed || !d.set.clock.Now().Before(d.until) || d.rightTo(m.Hash) != m.Epoch {
+		return code.NewError(code.StaleRoute, "the right to the key ended while the start mark was placed")
 	}
 	return nil
 }
--- a/router/dispatch/replicas.go
+++ b/router/dispatch/replicas.go
@@ -24,6 +24,7 @@
 	maxCallerSkew  = 5 * time.Second        // of a caller's clock against ours
 	forgetAttempts = 3
 	greetInterval  = 500 * time.Millisecond
+	downTime       = 200 * time.Millisecond // without a call, after one that failed
 )
 
 // The operations of a MarkCall.
@@ -79,8 +80,9 @@
 		stop     chan struct{} // closed at the end of the instance
 
 		mu     sync.Mutex
-		closed bool           // guarded by mu
-		ends   sync.WaitGroup // calls whose answer nobody waits for; none is added once closed
+		closed bool                        // guarded by mu
+		down   map[record.Writer]time.Time // until when a member is not called; guarded by mu
+		ends   sync.WaitGroup              // calls whose answer nobody waits for; none is added once closed
 	}
 )
 
@@ -114,10 +116,14 @@
 
 func (p *replicas) send(ctx context.Context, to route.Member, c MarkCall) (MarkReply, error) {
 	c.From, c.Word = p.self, p.history.tell()
+	if p.isDown(to.Writer) {
+		return MarkReply{}, errors.New(to.Writer.Instance + " did not answer just before")
+	}
 	ctx, cancel := context.WithTimeout(ctx, markTimeout)
 	defer cancel()
 	reply, err := p.peers.CallMark(ctx, to, c)
 	if err != nil {
+		p.setDown(to.Writer)
 		return reply, err
 	}
 	p.history.hear(to.Writer, reply.Word)
@@ -171,6 +177,25 @@
 	}
 }
 
+// isDown reports whether w did not answer a call just before.
+func (p *replicas) isDown(w record.Writer) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.clock.Now().Before(p.down[w])
+}
+
+func (p *replicas) setDown(w record.Writer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	for other, until := range p.down {
+		if now.After(until) {
+			delete(p.down, other)
+		}
+	}
+	p.down[w] = now.Add(downTime)
+}
+
 // callAll calls all of to at once and returns the replies and errors in order.
 func (p *replicas) callAll(ctx context.Context, to []route.Member, op MarkOperation, m Mark) ([]MarkReply, []error) {
 	replies, errs := make([]MarkReply, len(to)), make([]error, len(to))
@@ -183,33 +208,30 @@
 }
 
 // find asks every other member for the mark of m's key. It returns an error
-// unless all of them answered: a mark may stand at any.
+// when a mark may stand only at members that did not answer.
 func (p *replicas) find(ctx context.Context, m Mark) (*Mark, error) {
-	if p.peers == nil {
-		return nil, nil
-	}
-	replies, errs := p.callAll(ctx, p.history.others(), FindMark, m)
-	var found *Mark
-	for _, r := range replies {
-		if r.Found != nil && r.Found.Epoch != m.Epoch && (found == nil || found.Code == 0) {
+	others := p.history.others()
+	replies, errs := p.callAll(ctx, others, FindMark, m)
+	var (
+		found  *Mark
+		silent []route.Member
+	)
+	for i, r := range replies {
+		if errs[i] != nil {
+			silent = append(silent, others[i])
+		} else if r.Found != nil && r.Found.Epoch != m.Epoch && (found == nil || found.Code == 0) {
 			found = r.Found
 		}
 	}
-	if found != nil {
-		return found, nil
-	}
-	if err := errors.Join(errs...); err != nil {
-		return nil, code.NewError(code.MarkNotReplicated, "not all instances said whether they keep a mark: "+err.Error())
+	if found == nil && !p.history.covered(silent) {
+		return nil, code.NewError(code.MarkNotReplicated, "too few instances said whether they keep a mark: "+errors.Join(errs...).Error())
 	}
-	return nil, nil
+	return found, nil
 }
 
 // put places copies of m and returns once an instance of another failure
 // domain keeps one, or any other instance when there is no other domain.
 func (p *replicas) put(ctx context.Context, m Mark) (*Mark, error) {
-	if p.peers == nil {
-		return nil, nil
-	}
 	self := p.history.own()
 	to := keepers(p.history.others(), self, m)
 	apart := len(to) > 0 && to[0].FailureDomain != self.FailureDomain
@@ -219,13 +241,28 @@
 	if len(to) == 0 {
 		return nil, nil
 	}
-	replies, errs := p.callAll(ctx, to, PutMark, m)
-	for i, r := range replies {
-		if r.Found != nil {
-			return r.Found, nil
-		}
-		if errs[i] == nil && (!apart || to[i].FailureDomain != self.FailureDomain) {
-			return nil, nil
+	type answer struct {
+		found  *Mark
+		err    error
+		enough bool
+	}
+	answers := make(chan answer, len(to))
+	for _, member := range to {
+		p.background(func() {
+			reply, err := p.call(ctx, member, PutMark, m)
+			answers <- answer{found: reply.Found, err: err, enough: !apart || member.FailureDomain != self.FailureDomain}
+		})
+	}
+	var errs []error
+	for range to {
+		select {
+		case a := <-answers:
+			if a.found != nil || (a.err == nil && a.enough) {
+				return a.found, nil
+			}
+			errs = append(errs, a.err)
+		case <-p.stop:
+			return nil, code.NewError(code.MarkNotReplicated, "the instance is stopping")
 		}
 	}
 	return nil, code.NewError(code.MarkNotReplicated, errors.Join(errs...).Error())
--- a/router/dispatch/set.go
+++ b/router/dispatch/set.go
@@ -107,7 +107,7 @@
 	s.suspects.tell = func(n SuspectNote) { s.replicas.tellSuspect(n) }
 	s.replicas = &replicas{
 		suspects: s.suspects,
-		self:     self, clock: s.clock, peers: s.peers, marks: s.marks, history: s.history, stop: make(chan struct{}),
+		self:     self, clock: s.clock, peers: s.peers, marks: s.marks, history: s.history, stop: make(chan struct{}), down: map[record.Writer]time.Time{},
 	}
 	return s
 }
