--- a/core/config/config.go
+++ b/core/config/config.go
@@ -16,6 +16,9 @@
 	RankCount = 3
 )
 
+// MaxSlots is the largest slot count of a service.
+const MaxSlots = 1 << 20
+
 // The places where a key can stand in a request.
 const (
 	KeyFromPath   KeySource = "path"
@@ -85,7 +88,16 @@
 		TrustsRefusals bool     `yaml:"trusts-refusals"`       // a marked refusal surely did not run
 		ColdStart      Duration `yaml:"cold-start"`            // ramp of a new backend server
 		QueueLimit     int      `yaml:"queue-limit,omitempty"` // most requests queued at one dispatcher; 0 means the sum over the kinds
-		Kinds          []Kind   `yaml:"kinds"`                 // at least one
+		Balance        Balance  `yaml:"balance,omitempty"`
+		Kinds          []Kind   `yaml:"kinds"` // at least one
+	}
+
+	// Balance bounds how unequal the load of backend servers may be, and how
+	// fast ownership may change to mend that.
+	Balance struct {
+		Bound  float64 `yaml:"bound,omitempty"`  // largest share over or under the mean utilisation; 0 means 0.2
+		Settle float64 `yaml:"settle,omitempty"` // share that moves go on to; at most Bound; 0 means a quarter of Bound
+		Moves  int     `yaml:"moves,omitempty"`  // most slots and keys moved in 10 s; 0 means a 16th of the slots
 	}
 
 	// Key says where the key stands.
--- a/router/daemon/daemon.go
+++ b/router/daemon/daemon.go
@@ -58,6 +58,9 @@
 		core     *control.Core // used by the control goroutine alone
 		events   chan control.Event
 		appends  chan record.Record
+		readFrom chan uint64 // holds the last offset asked for
+		encoded  chan chan<- encodedState
+		last     encodedState // used by the control goroutine alone
 		entry    *caller.Server
 		dispatch *dispatch.Set
 		client   *peer.Client
@@ -94,10 +97,12 @@
 			Region: s.Region, FailureDomain: s.FailureDomain, Control: s.Control,
 			Forward: s.Forward, Admin: s.Admin, Fingerprint: identity.Fingerprint(),
 		}),
-		events:  make(chan control.Event, eventBuffer),
-		appends: make(chan record.Record, appendBuffer),
-		client:  peer.NewClient(identity),
-		grants:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		events:   make(chan control.Event, eventBuffer),
+		appends:  make(chan record.Record, appendBuffer),
+		readFrom: make(chan uint64, 1),
+		encoded:  make(chan chan<- encodedState),
+		client:   peer.NewClient(identity),
+		grants:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
 	}
 	d.dispatch = dispatch.NewSet(self,
 		dispatch.WithTracer(tracing.tracer),
@@ -126,6 +131,8 @@
 		{"log reader", d.followLog},
 		{"log writer", d.writeLog},
 		{"list reader", d.followList},
+		{"load reader", d.followLoad},
+		{"peer reader", d.askPeers},
 		{"admin", d.serveAdmin},
 		{"forward", d.serveForward},
 	}
@@ -189,6 +196,9 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case to := <-d.encoded:
+			to <- d.encode()
+			continue
 		case e = <-d.events:
 		case <-ticker.C:
 			e = control.Ticked{}
@@ -209,6 +219,8 @@
 		default:
 			d.log.Warn("append queue full", "record", e.Record.ID)
 		}
+	case control.ReadLog:
+		d.readLogFrom(e.From)
 	case control.SendGrant:
 		grants.Go(func() { d.sendGrant(ctx, e) })
 	case control.SetTable:
@@ -227,7 +239,7 @@
 }
 
 func (d *Daemon) serveForward(ctx context.Context) error {
-	server := peer.NewServer(d.identity, d.dispatch, d.trusted, d.kind, d.log)
+	server := peer.NewServer(d.identity, d.dispatch, d.trusted, d.kind, d.log, peer.WithSnapshot(d.snapshot))
 	done := make(chan error, 1)
 	server.Serve(ctx, d.settings.Forward, done)
 	return <-done
--- a/router/dispatch/dispatcher.go
+++ b/router/dispatch/dispatcher.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -14,7 +13,6 @@
 	"bronzewind.example/core/config"
 	"bronzewind.example/core/control"
 	"bronzewind.example/core/keyspace"
-	"bronzewind.example/core/record"
 	"bronzewind.example/core/route"
 )
 
@@ -26,7 +24,7 @@
 		set       *Set
 		transport http.RoundTripper
 		watch     *watch
-		startable func(keyspace.Slot) bool // mayStart
+		startable func(*job) bool // mayStart
 
 		mu      sync.Mutex // guards all below
 		service *route.Service
@@ -34,13 +32,12 @@
 		closed  bool
 		until   time.Time // the grant surely holds before it
 		epoch   uint64
-		granted []bool // by slot
-		held    []record.SlotRange
-		drained bool // it was reported that no held slot has work in flight
+		owned   ownership
+		meter   loadMeter
 		queue   *queue
 		limiter limiter
 		ramp    ramp
-		inSlot  map[keyspace.Slot]int
+		running map[*job]struct{}
 	}
 )
 
@@ -53,7 +50,8 @@
 		set: s, transport: t, watch: newWatch(s.suspects), service: v, server: server,
 		queue:   newQueue(v.Config, callers),
 		limiter: newLimiter(v.Config.ServerSlots),
-		inSlot:  map[keyspace.Slot]int{},
+		meter:   newLoadMeter(s.clock.Now()),
+		running: map[*job]struct{}{},
 	}
 	d.startable = d.mayStart
 	return d
@@ -71,13 +69,14 @@
 	if !server.Up {
 		d.watch.lost()
 	}
-	d.turnAway("the key moved to another backend server", func(j *job) bool { return !d.owns(j.slot) })
+	d.turnAway("the key moved to another backend server", func(j *job) bool { return !d.owns(j.request.Hash) })
 	d.startNext(d.set.clock.Now())
 }
 
-// owns reports whether the backend server owns slot; d.mu is held.
-func (d *Dispatcher) owns(slot keyspace.Slot) bool {
-	owner, _, ok := d.service.Owner(slot)
+// owns reports whether the backend server owns the key with hash h; d.mu is
+// held.
+func (d *Dispatcher) owns(h keyspace.Hash) bool {
+	owner, _, ok := d.service.Lookup(h)
 	return ok && owner.Name == d.server.Name
 }
 
@@ -87,8 +86,8 @@
 	now := d.set.clock.Now()
 	d.until, d.epoch = a.Until, a.Epoch
 	d.watch.setIncarnation(a.Incarnation)
-	d.setHeld(a.Held)
-	d.setGranted(a.Granted)
+	d.owned.authorize(a, d.service.Config.Slots)
+	d.reportDrained()
 	cold := !d.server.Up || d.server.Run != a.Incarnation
 	if a.Incarnation != d.ramp.run {
 		d.limiter = newLimiter(d.service.Config.ServerSlots)
@@ -98,44 +97,26 @@
 	d.startNext(now)
 }
 
-func (d *Dispatcher) setGranted(rs []record.SlotRange) {
-	if len(d.granted) != d.service.Config.Slots {
-		d.granted = make([]bool, d.service.Config.Slots)
-	}
-	clear(d.granted)
-	for _, r := range rs {
-		for i := int(r.First); i <= int(r.Last) && i < len(d.granted); i++ {
-			d.granted[i] = true
-		}
-	}
-}
-
-// setHeld takes the slots that may not start; d.mu is held.
-func (d *Dispatcher) setHeld(rs []record.SlotRange) {
-	if !slices.Equal(rs, d.held) {
-		d.held, d.drained = rs, false
-	}
-	d.reportDrained()
-}
-
 func (d *Dispatcher) hold(h control.HoldSlots) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.setHeld(h.Ranges)
+	d.owned.hold(h)
+	d.reportDrained()
 }
 
-// reportDrained tells control once no held slot has work in flight; d.mu is held.
+// reportDrained tells control once nothing that is held has work in flight;
+// d.mu is held.
 func (d *Dispatcher) reportDrained() {
-	if len(d.held) == 0 || d.drained {
+	if !d.owned.holding() || d.owned.drained {
 		return
 	}
-	for slot := range d.inSlot {
-		if contains(d.held, slot) {
+	for j := range d.running {
+		if d.owned.held(j.slot, j.request.Hash) {
 			return
 		}
 	}
-	d.drained = true
-	event := control.SlotsDrained{Service: d.server.Service, Server: d.server.Name, Ranges: d.held}
+	d.owned.drained = true
+	event := control.SlotsDrained{Service: d.server.Service, Server: d.server.Name, Hold: d.owned.number, Ranges: d.owned.heldSlots}
 	go d.set.drained(event)
 }
 
@@ -243,7 +224,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	slot := r.Hash.Slot(d.service.Config.Slots)
-	if d.closed || !d.owns(slot) {
+	if d.closed || !d.owns(r.Hash) {
 		return nil, code.NewError(code.StaleRoute, "the key is owned by another backend server")
 	}
 	now := d.set.clock.Now()
@@ -273,7 +254,7 @@
 func (d *Dispatcher) requeue(j *job) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.closed || !d.owns(j.slot) {
+	if d.closed || !d.owns(j.request.Hash) {
 		return code.NewError(code.StaleRoute, "the key moved to another backend server")
 	}
 	now := d.set.clock.Now()
@@ -290,7 +271,7 @@
 	}
 	d.queue.capacity = min(d.limiter.slots(now), d.ramp.slots(d.service.Config.ServerSlots, now))
 	for j := d.queue.pop(now, d.startable); j != nil; j = d.queue.pop(now, d.startable) {
-		d.inSlot[j.slot]++
+		d.running[j] = struct{}{}
 		d.set.metrics.started(j, now)
 		if j.start != nil {
 			j.start <- nil
@@ -298,9 +279,7 @@
 	}
 }
 
-func (d *Dispatcher) mayStart(slot keyspace.Slot) bool {
-	return int(slot) < len(d.granted) && d.granted[slot] && !contains(d.held, slot)
-}
+func (d *Dispatcher) mayStart(j *job) bool { return d.owned.mayStart(j.slot, j.request.Hash) }
 
 // finish frees the slot of j.
 func (d *Dispatcher) finish(j *job) {
@@ -313,9 +292,8 @@
 		d.limiter.answered(j.kind.service.slowness(), full, j.kind.service.mean, now)
 		d.set.metrics.finished(j, now)
 	}
-	if d.inSlot[j.slot]--; d.inSlot[j.slot] == 0 {
-		delete(d.inSlot, j.slot)
-	}
+	delete(d.running, j)
+	d.meter.add(now, j.slot, j.request.Hash, d.service.Hot(j.request.Hash), j.started)
 	d.reportDrained()
 	d.startNext(now)
 }
@@ -375,12 +353,3 @@
 	_, err := s.Seek(0, io.SeekStart)
 	return err == nil
 }
-
-func contains(rs []record.SlotRange, slot keyspace.Slot) bool {
-	for _, r := range rs {
-		if r.First <= slot && slot <= r.Last {
-			return true
-		}
-	}
-	return false
-}
--- a/router/dispatch/queue_test.go
+++ b/router/dispatch/queue_test.go
@@ -172,7 +172,7 @@
 		c.Kinds[3].Floor = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "floor")
 		q := newQueue(&c, []config.Caller{{Name: "capped", Cap: 5}})
 		now, held := epoch, keyspace.Slot(9)
-		startable := func(s keyspace.Slot) bool { return s != held }
+		startable := func(j *job) bool { return j.slot != held }
 		in, running := map[*job]bool{}, []*job{}
 		t.Repeat(map[string]func(*rapid.T){
 			"push": func(t *rapid.T) {
@@ -283,7 +283,7 @@
 					}
 				}
 				add(parked, 1)
-				startable := func(s keyspace.Slot) bool { return s != 1 }
+				startable := func(j *job) bool { return j.slot != 1 }
 				if j := q.pop(epoch, startable); j != nil {
 					b.Fatal("a held job started")
 				}
@@ -299,3 +299,22 @@
 		}
 	}
 }
+
+// A configured service time that is wrong isn't taken for a server that slows.
+func TestWrongServiceTimeIsForgotten(t *testing.T) {
+	e := newEstimate(8 * ms)
+	for i := range 50 {
+		if e.observe(50 * ms); e.slowness() > slowRatio {
+			t.Fatalf("slowness %.1f after %d samples, want at most %.1f", e.slowness(), i+1, slowRatio)
+		}
+	}
+	if e.mean < 45*ms {
+		t.Errorf("mean %s after 50 samples of 50 ms", e.mean)
+	}
+	for range 20 {
+		e.observe(200 * ms)
+	}
+	if e.slowness() <= slowRatio {
+		t.Errorf("slowness %.1f after the service time rose fourfold, want over %.1f", e.slowness(), slowRatio)
+	}
+}
--- a/router/peer/server.go
+++ b/router/peer/server.go
@@ -33,6 +33,7 @@
 		kind     func(service, kind string) (*config.Kind, bool)
 		log      *slog.Logger
 		streams  streamCount
+		snapshot func(ctx context.Context) ([]byte, error) // nil when none is served
 	}
 
 	// streamCount counts the streams that run. The zero value is ready for use.
@@ -50,8 +51,12 @@
 
 // NewServer returns a server that hands requests to doer. trusted says which
 // peers are members; kind finds a kind of work in the configuration in force.
-func NewServer(identity *Identity, doer Doer, trusted func([]byte) bool, kind func(service, kind string) (*config.Kind, bool), log *slog.Logger) *Server {
-	return &Server{identity: identity, doer: doer, trusted: trusted, kind: kind, log: log}
+func NewServer(identity *Identity, doer Doer, trusted func([]byte) bool, kind func(service, kind string) (*config.Kind, bool), log *slog.Logger, options ...ServerOption) *Server {
+	s := &Server{identity: identity, doer: doer, trusted: trusted, kind: kind, log: log}
+	for _, o := range options {
+		o(s)
+	}
+	return s
 }
 
 // Serve listens on address until ctx ends. Then it lets running streams finish
@@ -76,7 +81,7 @@
 }
 
 func (s *Server) serve(ctx context.Context, packets net.PacketConn) error {
-	l, err := quic.Listen(packets, s.identity.tlsConfig(s.trusted), quicConfig())
+	l, err := quic.Listen(packets, s.tlsConfig(), quicConfig())
 	if err != nil {
 		return fmt.Errorf("forward address %s: %w", packets.LocalAddr(), err)
 	}
@@ -132,8 +137,13 @@
 			return
 		}
 		s.streams.begin()
+		snapshot := conn.ConnectionState().TLS.NegotiatedProtocol == snapshotProtocol
 		wg.Go(func() {
 			defer s.streams.end()
+			if snapshot {
+				s.serveSnapshot(conn.Context(), stream)
+				return
+			}
 			s.serveStream(conn.Context(), stream)
 		})
 	}
