Keep bulk from holding up small work between instances, and count its bytes

Cause: all forwarded requests shared one QUIC connection, whose receive window uploads to a slow backend server could fill.

Change: work of the last rank and bodies over 32 KB have a connection of their own; 1 MB of a body and 16 MB of all wait at most. The expvar map "forward" has the bytes by service and rank.

--- a/router/caller/fleet_test.go
+++ b/router/caller/fleet_test.go
@@ -44,6 +44,7 @@
 		url      string
 		address  string       // of the entry
 		listener net.Listener // of the door, when the test serves it
+		client   *peer.Client
 		entry    *caller.Server
 		set      *dispatch.Set
 		backend  *fakeBackend
@@ -187,6 +188,7 @@
 		f.serveHop(identity, hop)
 	}
 	client := peer.NewClient(identity)
+	f.client = client
 	t.Cleanup(client.Close)
 	var options []caller.Option
 	if o.clock != nil {
--- a/router/peer/client.go
+++ b/router/peer/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"io"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/quic-go/quic-go"
 
 	"bronzewind.example/core/code"
+	"bronzewind.example/core/config"
 	"bronzewind.example/core/route"
 	"bronzewind.example/router/dispatch"
 )
@@ -23,33 +25,49 @@
 
 	uploadBufferBytes = 32 << 10
 	streamFailed      = quic.StreamErrorCode(1)
+
+	// The bytes of a body that wait at the dispatcher for a slow backend
+	// server, and those of all bodies of a connection.
+	streamWindowBytes = 1 << 20
+	connWindowBytes   = 16 << 20
 )
 
 type (
-	// Client forwards requests to the dispatchers on other instances over one
-	// connection for each.
+	// Client forwards requests to the dispatchers on other instances over two
+	// connections for each: bulk work has its own, so that nothing else waits
+	// behind it.
 	Client struct {
 		identity *Identity
+		traffic  *traffic
 
 		mu    sync.Mutex
 		conns map[endpoint]*quic.Conn // guarded by mu
 	}
 )
 
-// endpoint is one run of another instance.
-type endpoint struct{ forward, fingerprint string }
+// endpoint is one run of another instance, by one of the two connections to it.
+type endpoint struct {
+	forward, fingerprint string
+	bulk                 bool
+}
 
 // NewClient returns a client that shows identity to its peers.
 func NewClient(identity *Identity) *Client {
-	return &Client{identity: identity, conns: map[endpoint]*quic.Conn{}}
+	return &Client{identity: identity, traffic: newTraffic(), conns: map[endpoint]*quic.Conn{}}
 }
 
+// Metrics returns the bytes of forwarded requests by service and rank.
+func (c *Client) Metrics() expvar.Var { return c.traffic.all }
+
 func quicConfig() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout: dialTimeout,
 		MaxIdleTimeout:       idleTimeout,
 		KeepAlivePeriod:      keepAlive,
 		MaxIncomingStreams:   maxStreams,
+
+		MaxStreamReceiveWindow:     streamWindowBytes,
+		MaxConnectionReceiveWindow: connWindowBytes,
 	}
 }
 
@@ -66,11 +84,22 @@
 // Do forwards r to the instance that dispatches to server. Errors are
 // *code.Error; what was never sent is said not to have run.
 func (c *Client) Do(ctx context.Context, server *route.Server, r *dispatch.Request) (*dispatch.Answer, error) {
-	stream, err := c.open(ctx, endpoint{forward: server.Forward, fingerprint: string(server.Fingerprint)}, requestStream)
+	e := endpoint{forward: server.Forward, fingerprint: string(server.Fingerprint), bulk: isBulk(r)}
+	stream, err := c.open(ctx, e, requestStream)
 	if err != nil {
 		return nil, code.NewError(code.DispatcherBusy, err.Error())
 	}
-	return exchange(ctx, stream, r)
+	return exchange(ctx, &countedStream{Stream: stream, row: c.traffic.row(r.Service, r.Kind.Rank)}, r)
+}
+
+// isBulk reports whether r goes over the connection for bulk work.
+func isBulk(r *dispatch.Request) bool {
+	return r.Kind.Rank == config.Bulk || streams(r)
+}
+
+// streams reports whether the body of r is sent after its head.
+func streams(r *dispatch.Request) bool {
+	return r.Body != nil && (r.Length < 0 || r.Length > inlineBytes)
 }
 
 func abort(s *quic.Stream) {
@@ -79,18 +108,18 @@
 }
 
 // exchange sends r on a fresh stream and reads the head of the answer.
-func exchange(ctx context.Context, stream *quic.Stream, r *dispatch.Request) (*dispatch.Answer, error) {
+func exchange(ctx context.Context, stream *countedStream, r *dispatch.Request) (*dispatch.Answer, error) {
 	head, err := newRequestHead(r)
 	if err != nil {
-		abort(stream)
+		abort(stream.Stream)
 		return nil, code.NewError(code.MalformedRequest, err.Error())
 	}
-	stop := context.AfterFunc(ctx, func() { abort(stream) })
+	stop := context.AfterFunc(ctx, func() { abort(stream.Stream) })
 	u := newUpload(stream, r.Body)
 	a, err := send(stream, head, u)
 	if err != nil {
 		stop()
-		abort(stream)
+		abort(stream.Stream)
 		u.stop()
 		return nil, lost(ctx, u, err)
 	}
@@ -106,7 +135,7 @@
 
 // send writes head and reads up to the answer; the body is streamed when the
 // dispatcher asks for it.
-func send(stream *quic.Stream, head requestHead, u *upload) (*answerHead, error) {
+func send(stream *countedStream, head requestHead, u *upload) (*answerHead, error) {
 	if err := writeFrame(stream, head); err != nil {
 		return nil, err
 	}
@@ -139,7 +168,7 @@
 	if r.Body == nil {
 		return head, nil
 	}
-	if r.Length < 0 || r.Length > inlineBytes {
+	if streams(r) {
 		head.Streams = true
 		return head, nil
 	}
@@ -225,7 +254,7 @@
 // broke.
 type streamBody struct {
 	io.Reader
-	stream *quic.Stream
+	stream *countedStream
 	upload *upload
 	stop   func() bool
 }
--- a/router/peer/upload.go
+++ b/router/peer/upload.go
@@ -4,19 +4,17 @@
 	"errors"
 	"io"
 	"sync/atomic"
-
-	"github.com/quic-go/quic-go"
 )
 
 // upload streams the body of a request once the dispatcher asks for it.
 type upload struct {
-	stream *quic.Stream
+	stream *countedStream
 	body   io.Reader
 	done   chan struct{} // closed at the end of the goroutine; nil before start
 	broken atomic.Bool
 }
 
-func newUpload(stream *quic.Stream, body io.Reader) *upload {
+func newUpload(stream *countedStream, body io.Reader) *upload {
 	return &upload{stream: stream, body: body}
 }
 
