--- a/core/control/coordinator.go
+++ b/core/control/coordinator.go
@@ -6,7 +6,6 @@
 	"sort"
 	"time"
 
-	"bronzewind.example/core/keyspace"
 	"bronzewind.example/core/record"
 	"bronzewind.example/core/state"
 )
@@ -15,10 +14,6 @@
 	// listLag is how long the list may miss a backend server before it counts
 	// as gone.
 	listLag = 3 * time.Second
-
-	// claimStep is how much longer each next member waits before it claims a
-	// vacant coordinator's role.
-	claimStep = 500 * time.Millisecond
 )
 
 // list takes the platform's list and notes which backend servers it misses.
@@ -57,37 +52,16 @@
 func (c *Core) decideServices(now time.Time) []Effect {
 	var out []Effect
 	for _, v := range c.state.ServicesInOrder() {
-		switch {
-		case v.Coordinator == c.self:
-			delete(c.vacant, v.Name)
+		if v.Coordinator == c.self {
 			out = append(out, c.coordinate(v, now)...)
-		case c.state.IsMember(v.Coordinator):
-			delete(c.vacant, v.Name)
-			delete(c.plans, v.Name)
-		case c.mayClaim(v.Name, now):
-			out = append(out, c.propose("coordinator/"+v.Name, record.CoordinatorClaimed{Service: v.Name, Term: v.Term + 1}, now)...)
+			continue
 		}
+		delete(c.plans, v.Name)
+		out = append(out, c.decideClaim(v, now)...)
 	}
 	return out
 }
 
-// mayClaim reports whether the instance is to claim the vacant role: members
-// take their turns in an order that differs between services.
-func (c *Core) mayClaim(service string, now time.Time) bool {
-	since, ok := c.vacant[service]
-	if !ok {
-		since = now
-		c.vacant[service] = now
-	}
-	self, before := keyspace.NewHash(service+"/"+c.self.Instance), 0
-	for name := range c.state.Members {
-		if keyspace.NewHash(service+"/"+name) < self {
-			before++
-		}
-	}
-	return now.Sub(since) >= time.Duration(before)*claimStep
-}
-
 // coordinate decides what is to change in v, one record at a time.
 func (c *Core) coordinate(v *state.Service, now time.Time) []Effect {
 	if !c.planState(v.Name).due(c.state.Next, now) {
@@ -150,10 +124,7 @@
 	load := c.dispatcherLoad()
 	for _, name := range slices.Sorted(maps.Keys(wanted)) {
 		row := wanted[name]
-		if !c.state.IsMember(row.Dispatcher) {
-			row.Dispatcher = c.pickDispatcher(row.Region, row.FailureDomain, load)
-			load[row.Dispatcher.Instance]++
-		}
+		c.dispatchTo(&row, v.Servers[name].Row, load)
 		if row != v.Servers[name].Row {
 			rows = append(rows, row)
 		}
@@ -161,6 +132,30 @@
 	return rows
 }
 
+// dispatchTo gives row a dispatcher that is a member, and a next one when that
+// is about to leave.
+func (c *Core) dispatchTo(row *record.ServerRow, old record.ServerRow, load map[string]int) {
+	row.Next = record.Writer{}
+	m, ok := c.state.Members[row.Dispatcher.Instance]
+	switch {
+	case !ok || m.Writer != row.Dispatcher:
+		row.Dispatcher = c.pickDispatcher(row.Region, row.FailureDomain, load)
+		load[row.Dispatcher.Instance]++
+	case m.Leaving && c.stays(old.Next):
+		row.Next = old.Next
+	case m.Leaving:
+		if next := c.pickDispatcher(row.Region, row.FailureDomain, load); c.stays(next) {
+			row.Next = next
+			load[next.Instance]++
+		}
+	}
+}
+
+// stays reports whether w is a member that is not about to leave.
+func (c *Core) stays(w record.Writer) bool {
+	return c.state.IsMember(w) && !c.state.Members[w.Instance].Leaving
+}
+
 // removable returns the backend servers that are gone from the list and own
 // nothing.
 func (c *Core) removable(v *state.Service, now time.Time) []string {
@@ -192,7 +187,10 @@
 // pickDispatcher chooses the member nearest to the backend server, and the
 // least loaded of those.
 func (c *Core) pickDispatcher(region, domain string, load map[string]int) record.Writer {
-	names := c.state.MemberNames()
+	names := slices.DeleteFunc(c.state.MemberNames(), func(n string) bool { return c.state.Members[n].Leaving })
+	if len(names) == 0 {
+		names = c.state.MemberNames()
+	}
 	distance := func(name string) int {
 		j := c.state.Members[name].Joined
 		switch {
