--- a/core/control/lease_test.go
+++ b/core/control/lease_test.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -295,7 +294,7 @@
 	if diff := cmp.Diff(want, got); diff != "" || err != nil {
 		t.Errorf("decoded with %v (-want +got):\n%s", err, diff)
 	}
-	if _, err := DecodeMessages([]byte(fmt.Sprint("no messages"))); err == nil {
+	if _, err := DecodeMessages([]byte("no messages")); err == nil {
 		t.Error("garbage was decoded")
 	}
 }
