--- a/core/control/control.go
+++ b/core/control/control.go
@@ -4,6 +4,7 @@
 package control
 
 import (
+	"fmt"
 	"time"
 
 	"bronzewind.example/core/backend"
@@ -59,6 +60,10 @@
 		Ranges          []record.SlotRange
 	}
 
+	// CrashFound asks for a request that crashed backend servers to be
+	// quarantined.
+	CrashFound struct{ Quarantine record.Quarantined }
+
 	// MessageReceived brings a control message of another instance.
 	MessageReceived struct {
 		From    record.Writer
@@ -140,6 +145,7 @@
 		state    *state.State // of log
 		caughtUp bool
 		listed   []platform.Listed
+		lists    uint64                  // number of changes of listed
 		missing  map[serverKey]time.Time // since when the list names them no longer
 		pending  map[string]pending      // by subject; at most one record each
 		grants   map[serverKey]*grantState
@@ -184,6 +190,7 @@
 func (Ticked) event()           {}
 func (LeaveRequested) event()   {}
 func (TrafficStopped) event()   {}
+func (CrashFound) event()       {}
 
 func (ReadLog) effect()     {}
 func (Append) effect()      {}
@@ -215,16 +222,6 @@
 	}
 }
 
-// NextRun returns the core of a new run of the instance, which joins again
-// after RunEnded. It keeps what was folded and listed.
-func (c *Core) NextRun(incarnation uint64) *Core {
-	next := NewCore(record.Writer{Instance: c.self.Instance, Incarnation: incarnation}, c.joined)
-	next.log, next.state, next.caughtUp, next.oldest = c.log, c.state, c.caughtUp, c.oldest
-	next.listed, next.loads = c.listed, c.loads
-	next.readAt, next.longestLease = c.readAt, c.longestLease
-	return next
-}
-
 // Step takes one event and returns what is to be done, in order.
 func (c *Core) Step(e Event, now time.Time) []Effect {
 	if c.over {
@@ -247,6 +244,8 @@
 		out = c.drained(e, now)
 	case LoadMeasured:
 		out = c.measured(e, now)
+	case CrashFound:
+		out = c.propose(fmt.Sprintf("quarantine/%s/%d", e.Quarantine.Service, e.Quarantine.Fingerprint), e.Quarantine, now)
 	case MessageReceived:
 		out = c.received(e, now)
 	case LeaveRequested:
--- a/router/daemon/daemon.go
+++ b/router/daemon/daemon.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -41,6 +42,8 @@
 	drainLimit   = 30 * time.Second
 	leaveLimit   = 10 * time.Second // for handing roles over; then the witnesses notice the loss
 	leftLimit    = 2 * time.Second  // for the record that ends the membership
+
+	handOverLimit = 5 * time.Second
 )
 
 type (
@@ -59,6 +62,8 @@
 		events   chan control.Event
 		appends  chan record.Record
 		readFrom chan uint64 // holds the last offset asked for
+		encoded  chan chan<- encodedState
+		last     encodedState // used by the control goroutine alone
 		entry    *caller.Server
 		dispatch *dispatch.Set
 		client   *peer.Client
@@ -66,8 +71,10 @@
 		peers    peersVersion // used by the control goroutine alone
 		leaving  atomic.Bool
 		left     chan struct{} // closed when the membership has ended after a leave
+		lost     chan struct{} // receives once when it has ended otherwise
 		table    atomic.Pointer[route.Table]
 		ready    atomic.Bool
+		draining atomic.Bool
 		status   atomic.Pointer[status]
 	}
 
@@ -113,17 +120,31 @@
 		appends:  make(chan record.Record, appendBuffer),
 		readFrom: make(chan uint64, 1),
 		left:     make(chan struct{}),
+		lost:     make(chan struct{}, 1),
+		encoded:  make(chan chan<- encodedState),
 		client:   peer.NewClient(identity),
 		grants:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
 	}
 	d.control = peer.NewControl(key, d.received, d.log)
 	d.dispatch = dispatch.NewSet(self,
 		dispatch.WithTracer(tracing.tracer),
+		dispatch.WithMarkPeers(d.client),
+		dispatch.WithQuarantine(func(q record.Quarantined) { go func() { d.events <- control.CrashFound{Quarantine: q} }() }),
 		dispatch.WithDrained(func(e control.SlotsDrained) { d.events <- e }))
+	publish("dispatch", d.dispatch.Metrics())
+	publish("control", d.control.Counters())
 	d.entry = caller.NewServer(self, d.dispatch, d.client, d.log, caller.WithTracer(tracing.tracer))
 	return d, nil
 }
 
+// publish shows the counters of a subsystem under name; of several instances in
+// one process the first is shown.
+func publish(name string, v expvar.Var) {
+	if expvar.Get(name) == nil {
+		expvar.Publish(name, v)
+	}
+}
+
 // Run serves until ctx ends, then lets running requests finish.
 func (d *Daemon) Run(ctx context.Context) error {
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -134,6 +155,7 @@
 		{"log writer", d.writeLog},
 		{"list reader", d.followList},
 		{"load reader", d.followLoad},
+		{"peer reader", d.askPeers},
 		{"admin", d.serveAdmin},
 		{"forward", d.serveForward},
 		{"control transport", func(ctx context.Context) error { return d.control.Serve(ctx, d.settings.Control) }},
@@ -152,28 +174,43 @@
 	left := len(parts)
 	select {
 	case <-ctx.Done():
+		d.draining.Store(true)
 		d.handOver(run)
+		d.entry.AskToMove()
 	case err := <-ended:
 		errs = append(errs, err)
 		left--
 	case err := <-entry:
 		entry <- err
+	case <-d.lost:
+		errs = append(errs, ErrMembershipEnded)
 	}
 	stopEntry()
 	errs = append(errs, <-entry)
 	if ctx.Err() != nil {
+		d.handOverMarks(run)
 		d.endMembership(run)
 	}
 	stop()
 	for ; left > 0; left-- {
 		errs = append(errs, <-ended)
 	}
+	d.dispatch.Close()
 	d.client.Close()
 	d.tracing.close()
 	d.log.Info("stopped")
 	return errors.Join(errs...)
 }
 
+// handOverMarks gives the start marks of once-only work to other instances.
+func (d *Daemon) handOverMarks(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverLimit)
+	defer cancel()
+	if err := d.dispatch.HandOver(ctx); err != nil {
+		d.log.Warn("repeats of once-only work may be answered unknown", "error", err)
+	}
+}
+
 func wrap(part string, err error) error {
 	if err == nil {
 		return nil
@@ -192,6 +229,9 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case to := <-d.encoded:
+			to <- d.encode()
+			continue
 		case e = <-d.events:
 		case <-ticker.C:
 			e = control.Ticked{}
@@ -248,7 +288,7 @@
 }
 
 func (d *Daemon) serveForward(ctx context.Context) error {
-	server := peer.NewServer(d.identity, d.dispatch, d.trusted, d.kind, d.log)
+	server := peer.NewServer(d.identity, d.dispatch, d.trusted, d.kind, d.log, peer.WithSnapshot(d.snapshot))
 	done := make(chan error, 1)
 	server.Serve(ctx, d.settings.Forward, done)
 	return <-done
--- a/router/daemon/membership.go
+++ b/router/daemon/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"bronzewind.example/core/control"
@@ -12,6 +13,10 @@
 // leavePoll is the time between looks at how far a leave has come.
 const leavePoll = 10 * time.Millisecond
 
+// ErrMembershipEnded means that the other instances took the instance for
+// lost while it was paused or cut off. It serves again as a new Daemon.
+var ErrMembershipEnded = errors.New("membership ended")
+
 type (
 	// outbox holds the messages of one step by peer, in order.
 	outbox []peerMessages
@@ -58,14 +63,13 @@
 	d.control.SetPeers(version.self, peers)
 }
 
-// endRun joins again as a new run, unless the instance leaves.
+// endRun notes that the membership has ended, wanted or not.
 func (d *Daemon) endRun() {
 	if d.leaving.Load() {
 		close(d.left)
 		return
 	}
-	d.log.Warn("membership ended, joining again")
-	d.core = d.core.NextRun(uint64(d.clock.Now().UnixNano()))
+	d.lost <- struct{}{}
 }
 
 // handOver gives all roles to other instances, while callers are still served.
--- a/router/dispatch/set.go
+++ b/router/dispatch/set.go
@@ -5,12 +5,14 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"bronzewind.example/core/clock"
 	"bronzewind.example/core/code"
+	"bronzewind.example/core/config"
 	"bronzewind.example/core/control"
 	"bronzewind.example/core/record"
 	"bronzewind.example/core/route"
@@ -26,16 +28,35 @@
 		transport http.RoundTripper // nil means one transport for each backend server
 		drained   func(control.SlotsDrained)
 
+		metrics *metrics
+
 		table atomic.Pointer[route.Table]
 
-		mu      sync.Mutex
-		servers map[serverKey]*Dispatcher // guarded by mu
+		mu      sync.Mutex                                // held to change servers
+		servers atomic.Pointer[map[serverKey]*Dispatcher] // the map is immutable
+
+		heldMu sync.Mutex
+		held   map[epochKey]time.Time // first once-only work under an epoch; guarded by heldMu
+
+		runs      atomic.Uint64 // number of the last mark
+		retention time.Duration // of marks
+		peers     MarkPeers
+		marks     *Marks
+		history   *history
+		replicas  *replicas
+		suspects  *suspects
+		probe     func(address string) bool // whether nothing listens there
 	}
 
 	// Option changes a Set at its construction.
 	Option func(*Set)
 
 	serverKey struct{ service, server string }
+
+	epochKey struct {
+		service string
+		epoch   uint64
+	}
 )
 
 // WithClock sets the clock; the default is the system's.
@@ -50,6 +71,20 @@
 // WithDrained sets what is called when held slots have no work in flight.
 func WithDrained(f func(control.SlotsDrained)) Option { return func(s *Set) { s.drained = f } }
 
+// WithMarkPeers sets how the mark tables of other instances are reached; the
+// default keeps marks on this instance alone.
+func WithMarkPeers(p MarkPeers) Option { return func(s *Set) { s.peers = p } }
+
+// WithMarkRetention sets how long start marks are kept; the default is ten
+// minutes.
+func WithMarkRetention(d time.Duration) Option { return func(s *Set) { s.retention = d } }
+
+// WithQuarantine sets what is called to quarantine a request that crashed
+// backend servers in the whole fleet.
+func WithQuarantine(f func(record.Quarantined)) Option {
+	return func(s *Set) { s.suspects.report = f }
+}
+
 // NewSet returns the dispatchers of the instance self; it has none until
 // SetTable names some.
 func NewSet(self record.Writer, options ...Option) *Set {
@@ -58,51 +93,72 @@
 		clock:   clock.System{},
 		tracer:  noop.NewTracerProvider().Tracer(""),
 		drained: func(control.SlotsDrained) {},
-		servers: map[serverKey]*Dispatcher{},
+		held:    map[epochKey]time.Time{}, retention: defaultMarkRetention,
+		probe: refusesConnections, metrics: newMetrics(),
 	}
+	s.servers.Store(&map[serverKey]*Dispatcher{})
+	s.suspects = newSuspects(s.clock)
 	for _, o := range options {
 		o(s)
 	}
+	s.suspects.clock = s.clock
+	s.marks = newMarks(s.clock, s.retention, maxMarks)
+	s.history = newHistory(self, s.clock, s.retention)
+	s.suspects.tell = func(n SuspectNote) { s.replicas.tellSuspect(n) }
+	s.replicas = &replicas{
+		suspects: s.suspects,
+		self:     self, clock: s.clock, peers: s.peers, marks: s.marks, history: s.history, stop: make(chan struct{}),
+	}
 	return s
 }
 
 // SetTable starts and stops dispatchers after the new snapshot.
 func (s *Set) SetTable(t *route.Table) {
 	s.table.Store(t)
+	s.history.setTable(t)
+	s.replicas.greet()
+	s.setQuarantined(t)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	wanted := map[serverKey]bool{}
+	old, servers := s.all(), map[serverKey]*Dispatcher{}
 	for i := range t.Configuration.Services {
-		v, ok := t.Service(t.Configuration.Services[i].Name)
-		if !ok {
-			continue
-		}
-		servers := v.Servers()
-		for j := range servers {
-			if servers[j].Dispatcher != t.Self {
-				continue
-			}
-			key := serverKey{service: v.Config.Name, server: servers[j].Name}
-			wanted[key] = true
-			s.update(key, v, &servers[j])
+		if v, ok := t.Service(t.Configuration.Services[i].Name); ok {
+			s.addService(servers, old, v, t.Configuration.Callers)
 		}
 	}
-	for key, d := range s.servers {
-		if !wanted[key] {
-			delete(s.servers, key)
+	s.servers.Store(&servers)
+	for key, d := range old {
+		if servers[key] == nil {
 			d.close()
 		}
 	}
 }
 
-// update creates the dispatcher of key or gives it the new snapshot; s.mu is held.
-func (s *Set) update(key serverKey, v *route.Service, server *route.Server) {
-	d, ok := s.servers[key]
-	if !ok {
-		d = newDispatcher(s, v, server)
-		s.servers[key] = d
+// setQuarantined takes in the quarantines of t.
+func (s *Set) setQuarantined(t *route.Table) {
+	keys := make(map[quarantineKey]time.Time, len(t.Quarantine))
+	for _, q := range t.Quarantine {
+		keys[quarantineKey{service: q.Service, print: Fingerprint(q.Fingerprint)}] = time.UnixMilli(q.UntilMillis)
+	}
+	s.suspects.setQuarantined(keys)
+}
+
+// addService adds the dispatchers of v that are this instance's, with the new
+// snapshot: those of old where there are any. s.mu is held.
+func (s *Set) addService(servers, old map[serverKey]*Dispatcher, v *route.Service, callers []config.Caller) {
+	rows := v.Servers()
+	for i := range rows {
+		if rows[i].Dispatcher != s.self {
+			continue
+		}
+		key := serverKey{service: v.Config.Name, server: rows[i].Name}
+		d, ok := old[key]
+		if !ok {
+			d = newDispatcher(s, v, &rows[i], callers)
+		}
+		d.setRoute(v, &rows[i], callers)
+		servers[key] = d
 	}
-	d.setRoute(v, server)
 }
 
 // Authorize passes a grant on to the dispatcher that it is for.
@@ -126,22 +182,35 @@
 	if !ok {
 		return nil, code.NewError(code.StaleRoute, "this instance does not dispatch to "+r.Server)
 	}
-	return d.do(ctx, r)
+	answer, err := d.do(ctx, r)
+	if err != nil {
+		s.metrics.failed(r, err)
+	}
+	return answer, err
 }
 
+// ServeMark answers a call of another instance's mark table.
+func (s *Set) ServeMark(c MarkCall) MarkReply { return s.replicas.serve(c) }
+
+// HandOver gives the start marks to other instances before this one leaves.
+func (s *Set) HandOver(ctx context.Context) error { return s.replicas.handOver(ctx) }
+
 // Close ends all dispatchers; queued requests are answered that they did not run.
 func (s *Set) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for key, d := range s.servers {
-		delete(s.servers, key)
+	old := s.all()
+	s.servers.Store(&map[serverKey]*Dispatcher{})
+	for _, d := range old {
 		d.close()
 	}
+	s.replicas.close()
 }
 
 func (s *Set) dispatcher(service, server string) (*Dispatcher, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	d, ok := s.servers[serverKey{service: service, server: server}]
+	d, ok := s.all()[serverKey{service: service, server: server}]
 	return d, ok
 }
+
+// all returns the dispatchers; the map is not to be changed.
+func (s *Set) all() map[serverKey]*Dispatcher { return *s.servers.Load() }
--- a/router/main.go
+++ b/router/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -26,9 +27,8 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	d, err := daemon.New(s, newLogger(s.LogFormat))
-	if err == nil {
-		err = d.Run(ctx)
+	for err = daemon.ErrMembershipEnded; errors.Is(err, daemon.ErrMembershipEnded) && ctx.Err() == nil; {
+		err = run(ctx, s)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "bronzewind:", err)
@@ -36,6 +36,15 @@
 	}
 }
 
+// run serves as one run of the instance.
+func run(ctx context.Context, s *settings.Settings) error {
+	d, err := daemon.New(s, newLogger(s.LogFormat))
+	if err != nil {
+		return err
+	}
+	return d.Run(ctx)
+}
+
 // options reads the command line: the settings file and what overrides it.
 func options() (string, []settings.Option) {
 	file := "bronzewind.yaml"
