--- a/core/control/control.go
+++ b/core/control/control.go
@@ -188,9 +188,9 @@
 func (SlotsDrained) event()     {}
 func (MessageReceived) event()  {}
 func (Ticked) event()           {}
+func (CrashFound) event()       {}
 func (LeaveRequested) event()   {}
 func (TrafficStopped) event()   {}
-func (CrashFound) event()       {}
 
 func (ReadLog) effect()     {}
 func (Append) effect()      {}
@@ -222,6 +222,16 @@
 	}
 }
 
+// NextRun returns the core of a new run of the instance, which joins again
+// after RunEnded. It keeps what was folded and listed.
+func (c *Core) NextRun(incarnation uint64) *Core {
+	next := NewCore(record.Writer{Instance: c.self.Instance, Incarnation: incarnation}, c.joined)
+	next.log, next.state, next.caughtUp, next.oldest = c.log, c.state, c.caughtUp, c.oldest
+	next.listed, next.loads = c.listed, c.loads
+	next.readAt, next.longestLease = c.readAt, c.longestLease
+	return next
+}
+
 // Step takes one event and returns what is to be done, in order.
 func (c *Core) Step(e Event, now time.Time) []Effect {
 	if c.over {
--- a/core/control/log.go
+++ b/core/control/log.go
@@ -59,7 +59,7 @@
 
 func (c *Core) setTable() []Effect {
 	if t := route.NewTable(c.state); t != nil {
-		return []Effect{SetTable{Table: t}}
+		return []Effect{SetTable{Table: t.WithSelf(c.self)}}
 	}
 	return nil
 }
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -302,6 +302,10 @@
 		r.Body, err = decodeBody[ServerReported](e.Body)
 	case kindCheckpointPart:
 		r.Body, err = decodeBody[CheckpointPart](e.Body)
+	case kindQuarantined:
+		r.Body, err = decodeBody[Quarantined](e.Body)
+	case kindQuarantineReleased:
+		r.Body, err = decodeBody[QuarantineReleased](e.Body)
 	case kindLeaseRenewed:
 		r.Body, err = decodeBody[LeaseRenewed](e.Body)
 	case kindWitnessesNamed:
@@ -310,10 +314,6 @@
 		r.Body, err = decodeBody[InstanceLeaving](e.Body)
 	case kindDispatcherReleased:
 		r.Body, err = decodeBody[DispatcherReleased](e.Body)
-	case kindQuarantined:
-		r.Body, err = decodeBody[Quarantined](e.Body)
-	case kindQuarantineReleased:
-		r.Body, err = decodeBody[QuarantineReleased](e.Body)
 	default:
 		return Record{}, &UnknownKindError{ID: e.ID, Kind: e.Kind}
 	}
--- a/core/state/fold.go
+++ b/core/state/fold.go
@@ -144,8 +144,8 @@
 		return Stale
 	}
 	delete(s.Members, w.Instance)
-	s.MembersChanged = s.Next
 	s.Departed++
+	s.MembersChanged = s.Next
 	return Accepted
 }
 
--- a/lab/capacity/traffic.go
+++ b/lab/capacity/traffic.go
@@ -55,7 +55,7 @@
 	}
 	set := dispatch.NewSet(f.writer)
 	entry := caller.NewServer(f.writer, set, nil, slog.New(slog.DiscardHandler))
-	table := route.NewTable(s)
+	table := route.NewTable(s).WithSelf(f.writer)
 	set.SetTable(table)
 	entry.SetTable(table)
 	set.Authorize(control.Authorize{
--- a/router/caller/server.go
+++ b/router/caller/server.go
@@ -136,7 +136,7 @@
 		return nil, code.NewError(code.NoOwner, "no backend server owns the key at present")
 	}
 	r.Server = server.Name
-	if server.Dispatcher == s.self {
+	if server.Dispatcher == t.Self {
 		return s.local.Do(ctx, r)
 	}
 	ctx, span := s.tracer.Start(ctx, "forward", trace.WithAttributes(
--- a/router/daemon/daemon.go
+++ b/router/daemon/daemon.go
@@ -40,10 +40,10 @@
 	eventBuffer  = 1024
 	appendBuffer = 256
 	drainLimit   = 30 * time.Second
-	leaveLimit   = 10 * time.Second // for handing roles over; then the witnesses notice the loss
-	leftLimit    = 2 * time.Second  // for the record that ends the membership
 
-	handOverLimit = 5 * time.Second
+	handOverLimit = 5 * time.Second  // for start marks
+	leaveLimit    = 10 * time.Second // for handing roles over; then the witnesses notice the loss
+	leftLimit     = 2 * time.Second  // for the record that ends the membership
 )
 
 type (
@@ -71,7 +71,6 @@
 		peers    peersVersion // used by the control goroutine alone
 		leaving  atomic.Bool
 		left     chan struct{} // closed when the membership has ended after a leave
-		lost     chan struct{} // receives once when it has ended otherwise
 		table    atomic.Pointer[route.Table]
 		ready    atomic.Bool
 		draining atomic.Bool
@@ -119,9 +118,8 @@
 		events:   make(chan control.Event, eventBuffer),
 		appends:  make(chan record.Record, appendBuffer),
 		readFrom: make(chan uint64, 1),
-		left:     make(chan struct{}),
-		lost:     make(chan struct{}, 1),
 		encoded:  make(chan chan<- encodedState),
+		left:     make(chan struct{}),
 		client:   peer.NewClient(identity),
 		grants:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
 	}
@@ -132,7 +130,6 @@
 		dispatch.WithQuarantine(func(q record.Quarantined) { go func() { d.events <- control.CrashFound{Quarantine: q} }() }),
 		dispatch.WithDrained(func(e control.SlotsDrained) { d.events <- e }))
 	publish("dispatch", d.dispatch.Metrics())
-	publish("control", d.control.Counters())
 	d.entry = caller.NewServer(self, d.dispatch, d.client, d.log, caller.WithTracer(tracing.tracer))
 	return d, nil
 }
@@ -175,15 +172,13 @@
 	select {
 	case <-ctx.Done():
 		d.draining.Store(true)
-		d.handOver(run)
 		d.entry.AskToMove()
+		d.handOver(run)
 	case err := <-ended:
 		errs = append(errs, err)
 		left--
 	case err := <-entry:
 		entry <- err
-	case <-d.lost:
-		errs = append(errs, ErrMembershipEnded)
 	}
 	stopEntry()
 	errs = append(errs, <-entry)
--- a/router/daemon/membership.go
+++ b/router/daemon/membership.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"bronzewind.example/core/control"
@@ -13,10 +12,6 @@
 // leavePoll is the time between looks at how far a leave has come.
 const leavePoll = 10 * time.Millisecond
 
-// ErrMembershipEnded means that the other instances took the instance for
-// lost while it was paused or cut off. It serves again as a new Daemon.
-var ErrMembershipEnded = errors.New("membership ended")
-
 type (
 	// outbox holds the messages of one step by peer, in order.
 	outbox []peerMessages
@@ -63,13 +58,14 @@
 	d.control.SetPeers(version.self, peers)
 }
 
-// endRun notes that the membership has ended, wanted or not.
+// endRun joins again as a new run, unless the instance leaves.
 func (d *Daemon) endRun() {
 	if d.leaving.Load() {
 		close(d.left)
 		return
 	}
-	d.lost <- struct{}{}
+	d.log.Warn("membership ended, joining again")
+	d.core = d.core.NextRun(uint64(d.clock.Now().UnixNano()))
 }
 
 // handOver gives all roles to other instances, while callers are still served.
--- a/router/dispatch/replicas.go
+++ b/router/dispatch/replicas.go
@@ -69,7 +69,6 @@
 
 	// replicas keeps copies of this instance's marks at its peers.
 	replicas struct {
-		self     record.Writer
 		clock    clock.Clock
 		peers    MarkPeers // nil when there are none
 		marks    *Marks
@@ -113,7 +112,7 @@
 }
 
 func (p *replicas) send(ctx context.Context, to route.Member, c MarkCall) (MarkReply, error) {
-	c.From, c.Word = p.self, p.history.tell()
+	c.From, c.Word = p.history.run(), p.history.tell()
 	ctx, cancel := context.WithTimeout(ctx, markTimeout)
 	defer cancel()
 	reply, err := p.peers.CallMark(ctx, to, c)
