--- a/core/config/parse.go
+++ b/core/config/parse.go
@@ -88,6 +88,7 @@
 	add(s.Slots < 1 || s.Slots > MaxSlots || s.Slots&(s.Slots-1) != 0, at+".slots", "is not a power of two up to 1048576", "choose for example 4096")
 	add(s.ServerSlots < 1, at+".server-slots", "is not positive", "give the number of requests that a backend server runs at once")
 	add(s.Connections < s.ServerSlots, at+".connections", "is below server-slots", "raise connections")
+	add(s.QueueLimit < 0, at+".queue-limit", "is negative", "give the most requests queued at one dispatcher, or 0 for the sum over the kinds")
 	add(len(s.Kinds) == 0, at+".kinds", "is empty", "configure at least one kind of work")
 	add(s.Balance.Bound < 0 || s.Balance.Bound > 1, at+".balance.bound", "is not from 0 to 1", "give a share of the mean utilisation, for example 0.2")
 	add(s.Balance.Settle < 0 || s.Balance.Settle > s.Balance.Bound, at+".balance.settle", "is not from 0 to bound", "lower settle")
--- a/core/control/control.go
+++ b/core/control/control.go
@@ -4,6 +4,7 @@
 package control
 
 import (
+	"fmt"
 	"time"
 
 	"bronzewind.example/core/backend"
@@ -59,6 +60,10 @@
 		Ranges          []record.SlotRange
 	}
 
+	// CrashFound asks for a request that crashed backend servers to be
+	// quarantined.
+	CrashFound struct{ Quarantine record.Quarantined }
+
 	// MessageReceived brings a control message of another instance.
 	MessageReceived struct {
 		From    record.Writer
@@ -140,6 +145,7 @@
 		state    *state.State // of log
 		caughtUp bool
 		listed   []platform.Listed
+		lists    uint64                  // number of changes of listed
 		missing  map[serverKey]time.Time // since when the list names them no longer
 		pending  map[string]pending      // by subject; at most one record each
 		grants   map[serverKey]*grantState
@@ -182,6 +188,7 @@
 func (SlotsDrained) event()     {}
 func (MessageReceived) event()  {}
 func (Ticked) event()           {}
+func (CrashFound) event()       {}
 func (LeaveRequested) event()   {}
 func (TrafficStopped) event()   {}
 
@@ -247,6 +254,8 @@
 		out = c.drained(e, now)
 	case LoadMeasured:
 		out = c.measured(e, now)
+	case CrashFound:
+		out = c.propose(fmt.Sprintf("quarantine/%s/%d", e.Quarantine.Service, e.Quarantine.Fingerprint), e.Quarantine, now)
 	case MessageReceived:
 		out = c.received(e, now)
 	case LeaveRequested:
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -110,6 +110,19 @@
 		Server string        `cbor:"2,keyasint"`
 	}
 
+	// Quarantined stops a request that crashed backend servers.
+	Quarantined struct {
+		Service     string `cbor:"1,keyasint"`
+		Fingerprint uint64 `cbor:"2,keyasint"` // of method, target and small body
+		UntilMillis int64  `cbor:"3,keyasint"` // Unix time; then the request may run again
+	}
+
+	// QuarantineReleased ends a quarantine early, at an operator's wish.
+	QuarantineReleased struct {
+		Service     string `cbor:"1,keyasint"`
+		Fingerprint uint64 `cbor:"2,keyasint"`
+	}
+
 	// SlotRange is slots First to Last, both included.
 	SlotRange struct {
 		First  keyspace.Slot `cbor:"1,keyasint"`
@@ -163,6 +176,9 @@
 	kindServerReported
 
 	kindCheckpointPart uint = 20
+
+	kindQuarantined        uint = 30
+	kindQuarantineReleased uint = 31
 )
 
 const (
@@ -184,6 +200,9 @@
 func (ServerReported) kind() uint         { return kindServerReported }
 func (CheckpointPart) kind() uint         { return kindCheckpointPart }
 
+func (Quarantined) kind() uint        { return kindQuarantined }
+func (QuarantineReleased) kind() uint { return kindQuarantineReleased }
+
 // String returns instance and incarnation.
 func (w Writer) String() string { return fmt.Sprintf("%s#%d", w.Instance, w.Incarnation) }
 
@@ -283,6 +302,10 @@
 		r.Body, err = decodeBody[ServerReported](e.Body)
 	case kindCheckpointPart:
 		r.Body, err = decodeBody[CheckpointPart](e.Body)
+	case kindQuarantined:
+		r.Body, err = decodeBody[Quarantined](e.Body)
+	case kindQuarantineReleased:
+		r.Body, err = decodeBody[QuarantineReleased](e.Body)
 	case kindLeaseRenewed:
 		r.Body, err = decodeBody[LeaseRenewed](e.Body)
 	case kindWitnessesNamed:
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -19,10 +19,22 @@
 	Table struct {
 		Configuration *config.Configuration // never nil
 		Offset        uint64                // the fold's next offset at the time
+		Members       []Member              // in order of name
+		Departed      uint64                // memberships that ended so far
+		Quarantine    []record.Quarantined  // not to be changed
 		Self          record.Writer         // the run that reads the snapshot; it changes when an instance joins again
 		services      map[string]*Service
 	}
 
+	// Member is an instance that the log counts.
+	Member struct {
+		Writer        record.Writer
+		Region        string
+		FailureDomain string
+		Forward       string // QUIC address
+		Fingerprint   []byte
+	}
+
 	// Service is the snapshot of one service.
 	Service struct {
 		Config  *config.Service
@@ -49,6 +61,7 @@
 		FailureDomain string
 		Up            bool
 		Leaving       bool
+		Run           uint64 // incarnation that was last reported up
 		Epoch         uint64 // of the dispatcher role
 		Dispatcher    record.Writer
 		Forward       string // QUIC address of the dispatcher; "" when it is no member
@@ -61,7 +74,17 @@
 	if s.Configuration == nil {
 		return nil
 	}
-	t := &Table{Configuration: s.Configuration, Offset: s.Next, services: make(map[string]*Service, len(s.Services))}
+	t := &Table{
+		Configuration: s.Configuration, Offset: s.Next, Departed: s.Departed, Quarantine: s.Quarantine,
+		services: make(map[string]*Service, len(s.Services)),
+	}
+	for _, name := range s.MemberNames() {
+		m := s.Members[name]
+		t.Members = append(t.Members, Member{
+			Writer: m.Writer, Region: m.Joined.Region, FailureDomain: m.Joined.FailureDomain,
+			Forward: m.Joined.Forward, Fingerprint: m.Joined.Fingerprint,
+		})
+	}
 	for i := range s.Configuration.Services {
 		c := &s.Configuration.Services[i]
 		if v, ok := s.Services[c.Name]; ok {
@@ -71,6 +94,13 @@
 	return t
 }
 
+// WithSelf returns the snapshot as the run self reads it.
+func (t *Table) WithSelf(self record.Writer) *Table {
+	out := *t
+	out.Self = self
+	return &out
+}
+
 func newService(s *state.State, c *config.Service, v *state.Service) *Service {
 	names := v.ServerNames()
 	index := make(map[string]uint16, len(names))
@@ -84,11 +114,17 @@
 		index[n] = uint16(i)
 		out.servers = append(out.servers, newServer(s, c.Name, v.Servers[n]))
 	}
+	name, last := "", uint16(noServer)
 	owner := func(row state.SlotRow) uint16 {
-		if k, ok := index[row.Owner]; ok {
-			return k
+		if row.Owner == name {
+			return last
+		}
+		k, ok := index[row.Owner]
+		if !ok {
+			k = noServer
 		}
-		return noServer
+		name, last = row.Owner, k
+		return k
 	}
 	for i, row := range v.Slots {
 		out.owners[i], out.epochs[i] = owner(row), row.Epoch
@@ -118,7 +154,7 @@
 	out := Server{
 		Service: service, Name: v.Row.Name, Address: v.Row.Address,
 		Region: v.Row.Region, FailureDomain: v.Row.FailureDomain,
-		Up: v.Up, Leaving: v.Row.Leaving,
+		Up: v.Up, Leaving: v.Row.Leaving, Run: v.Run,
 		Epoch: v.Epoch, Dispatcher: v.Row.Dispatcher,
 	}
 	if m, ok := s.Members[v.Row.Dispatcher.Instance]; ok && m.Writer == v.Row.Dispatcher {
--- a/core/state/fold.go
+++ b/core/state/fold.go
@@ -72,6 +72,10 @@
 		return s.report(r.Writer, b)
 	case record.CheckpointPart:
 		return s.checkpoint(offset, r.Writer, b)
+	case record.Quarantined:
+		return s.quarantine(r.Writer, b)
+	case record.QuarantineReleased:
+		return s.releaseQuarantine(b)
 	default:
 		return Invalid
 	}
@@ -140,6 +144,7 @@
 		return Stale
 	}
 	delete(s.Members, w.Instance)
+	s.Departed++
 	s.MembersChanged = s.Next
 	return Accepted
 }
@@ -184,6 +189,7 @@
 		}
 	}
 	v.Version++
+	v.names = nil
 	for _, row := range b.Servers {
 		old := v.Servers[row.Name]
 		next := Server{Row: row, Epoch: old.Epoch, Up: old.Up, Run: old.Run, Leaving: old.Leaving, Handed: old.Handed}
--- a/router/caller/fleet_test.go
+++ b/router/caller/fleet_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"bronzewind.example/core/clock"
 	"bronzewind.example/core/config"
 	"bronzewind.example/core/control"
 	"bronzewind.example/core/record"
@@ -39,21 +40,28 @@
 type (
 	// fleet is an entry and a dispatcher in front of one fake backend server.
 	fleet struct {
-		t        *testing.T
+		t        testing.TB
 		url      string
-		address  string // of the entry
+		address  string       // of the entry
+		listener net.Listener // of the door, when the test serves it
+		client   *peer.Client
 		entry    *caller.Server
 		set      *dispatch.Set
 		backend  *fakeBackend
 		loseHop  func() // ends the dispatcher's QUIC side at once
+		drainHop func() // lets it finish
 		document config.Configuration
 	}
 
 	fleetOptions struct {
 		local   bool // entry and dispatcher are one instance
 		trusted bool
-		down    bool // nothing listens at the backend server's address
-		noHop   bool // nothing listens at the dispatcher's address
+		down    bool   // nothing listens at the backend server's address
+		noHop   bool   // nothing listens at the dispatcher's address
+		direct  bool   // no relay stands between entry and dispatcher
+		address string // of the backend server; "" is the fake one's
+		door    bool   // the test serves the entry itself, at the fleet's address
+		clock   clock.Clock
 		patient time.Duration
 		body    time.Duration // body idle timeout
 		script  func(c net.Conn, r *http.Request)
@@ -109,7 +117,7 @@
 }
 
 // newTable folds the records of a fleet of two instances and one backend server.
-func newTable(t *testing.T, c config.Configuration, backend, forward string, fingerprint []byte, dispatcher record.Writer) *route.Table {
+func newTable(t testing.TB, c config.Configuration, backend, forward string, fingerprint []byte, dispatcher record.Writer) *route.Table {
 	t.Helper()
 	document, err := c.Encode()
 	if err != nil {
@@ -137,7 +145,7 @@
 }
 
 // newFleet starts a fleet; its parts end with the test.
-func newFleet(t *testing.T, o fleetOptions) *fleet {
+func newFleet(t testing.TB, o fleetOptions) *fleet {
 	t.Helper()
 	if o.patient == 0 {
 		o.patient = 20 * time.Second
@@ -153,24 +161,50 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	forward, self := freeUDP(t), dispatcherWriter
-	relay, lose := newUDPRelay(t, forward)
+	hop, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	self := dispatcherWriter
+	relay, lose := newUDPRelay(t, hop.LocalAddr().String())
 	f.loseHop = lose
+	if o.direct {
+		relay = hop.LocalAddr().String()
+	}
 	if o.local {
 		self = entryWriter
 	}
-	table := newTable(t, f.document, f.backend.listener.Addr().String(), relay, identity.Fingerprint(), self)
+	if o.address == "" {
+		o.address = f.backend.listener.Addr().String()
+	}
+	table := newTable(t, f.document, o.address, relay, identity.Fingerprint(), self)
 	f.set = dispatch.NewSet(self)
 	t.Cleanup(f.set.Close)
-	f.set.SetTable(table)
+	f.set.SetTable(table.WithSelf(self))
 	f.authorize(table)
-	if !o.local && !o.noHop {
-		f.serveHop(identity, forward)
+	if o.local || o.noHop {
+		hop.Close()
+	} else {
+		f.serveHop(identity, hop)
 	}
 	client := peer.NewClient(identity)
+	f.client = client
 	t.Cleanup(client.Close)
-	f.entry = caller.NewServer(entryWriter, f.set, client, slog.New(slog.DiscardHandler))
-	f.entry.SetTable(table)
+	var options []caller.Option
+	if o.clock != nil {
+		options = append(options, caller.WithClock(o.clock))
+	}
+	f.entry = caller.NewServer(entryWriter, f.set, client, slog.New(slog.DiscardHandler), options...)
+	f.entry.SetTable(table.WithSelf(entryWriter))
+	if o.door {
+		f.listener, err = net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.address = f.listener.Addr().String()
+		f.url = "http://" + f.address
+		return f
+	}
 	h := httptest.NewServer(f.entry)
 	t.Cleanup(h.Close)
 	f.url, f.address = h.URL, h.Listener.Addr().String()
@@ -185,7 +219,7 @@
 	})
 }
 
-func (f *fleet) serveHop(identity *peer.Identity, forward string) {
+func (f *fleet) serveHop(identity *peer.Identity, hop net.PacketConn) {
 	ctx, cancel := context.WithCancel(context.Background())
 	kind := func(_, name string) (*config.Kind, bool) {
 		for i, k := range f.document.Services[0].Kinds {
@@ -197,7 +231,8 @@
 	}
 	server := peer.NewServer(identity, f.set, func([]byte) bool { return true }, kind, slog.New(slog.DiscardHandler))
 	done := make(chan error, 1)
-	go server.Serve(ctx, forward, done)
+	go server.ServePacket(ctx, hop, done)
+	f.drainHop = cancel
 	f.t.Cleanup(func() {
 		cancel()
 		if err := <-done; err != nil {
@@ -206,18 +241,8 @@
 	})
 }
 
-func freeUDP(t *testing.T) string {
-	t.Helper()
-	c, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	return c.LocalAddr().String()
-}
-
 // newUDPRelay passes datagrams on to address and back, until lose is called.
-func newUDPRelay(t *testing.T, address string) (relay string, lose func()) {
+func newUDPRelay(t testing.TB, address string) (relay string, lose func()) {
 	t.Helper()
 	front, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
@@ -263,7 +288,7 @@
 	return front.LocalAddr().String(), func() { lost.Store(true) }
 }
 
-func newFakeBackend(t *testing.T, script func(net.Conn, *http.Request)) *fakeBackend {
+func newFakeBackend(t testing.TB, script func(net.Conn, *http.Request)) *fakeBackend {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/router/caller/server.go
+++ b/router/caller/server.go
@@ -30,6 +30,8 @@
 	// lengthenedBytes bounds an answer that is read whole to find its length.
 	lengthenedBytes = 1 << 20
 
+	maxCopyBytes = 32 << 10
+
 	// verdictWait is how long past the deadline the entry waits for the
 	// dispatcher's word, which knows whether the request had started.
 	verdictWait = 150 * time.Millisecond
@@ -55,6 +57,7 @@
 		tracer   trace.Tracer
 		log      *slog.Logger
 		draining atomic.Bool
+		moving   atomic.Bool // callers are asked to close their connections
 		budget   budget
 
 		table   atomic.Pointer[route.Table]
@@ -103,6 +106,9 @@
 	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := s.tracer.Start(ctx, "entry", trace.WithAttributes(attribute.String("path", r.URL.Path)))
 	defer span.End()
+	if s.moving.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	req, err := s.read(w, r)
 	if err != nil {
 		s.refuse(w, err)
@@ -160,11 +166,20 @@
 	}
 	out := &callerWriter{w: w, control: http.NewResponseController(w), idle: bodyIdle(s.table.Load())}
 	w.WriteHeader(a.Status)
-	if _, err := io.Copy(out, a.Body); err != nil {
+	if _, err := io.CopyBuffer(out, a.Body, make([]byte, copyBytes(a.Length))); err != nil {
 		s.cutOff(err)
 	}
 }
 
+// copyBytes returns the size of a buffer to copy a body of length bytes with;
+// a negative length is not known.
+func copyBytes(length int64) int64 {
+	if length < 0 {
+		return maxCopyBytes
+	}
+	return min(length+1, maxCopyBytes)
+}
+
 // lengthen finds the length of an answer for a caller whose protocol has no
 // chunks, and so no other way to tell a whole answer from one that is cut off.
 func (s *Server) lengthen(a *dispatch.Answer) {
--- a/router/peer/client.go
+++ b/router/peer/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"io"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/quic-go/quic-go"
 
 	"bronzewind.example/core/code"
+	"bronzewind.example/core/config"
 	"bronzewind.example/core/route"
 	"bronzewind.example/router/dispatch"
 )
@@ -23,30 +25,49 @@
 
 	uploadBufferBytes = 32 << 10
 	streamFailed      = quic.StreamErrorCode(1)
+
+	// The bytes of a body that wait at the dispatcher for a slow backend
+	// server, and those of all bodies of a connection.
+	streamWindowBytes = 1 << 20
+	connWindowBytes   = 16 << 20
 )
 
 type (
-	// Client forwards requests to the dispatchers on other instances over one
-	// connection for each.
+	// Client forwards requests to the dispatchers on other instances over two
+	// connections for each: bulk work has its own, so that nothing else waits
+	// behind it.
 	Client struct {
 		identity *Identity
+		traffic  *traffic
 
 		mu    sync.Mutex
-		conns map[string]*quic.Conn // by fingerprint; guarded by mu
+		conns map[endpoint]*quic.Conn // guarded by mu
 	}
 )
 
+// endpoint is one run of another instance, by one of the two connections to it.
+type endpoint struct {
+	forward, fingerprint string
+	bulk                 bool
+}
+
 // NewClient returns a client that shows identity to its peers.
 func NewClient(identity *Identity) *Client {
-	return &Client{identity: identity, conns: map[string]*quic.Conn{}}
+	return &Client{identity: identity, traffic: newTraffic(), conns: map[endpoint]*quic.Conn{}}
 }
 
+// Metrics returns the bytes of forwarded requests by service and rank.
+func (c *Client) Metrics() expvar.Var { return c.traffic.all }
+
 func quicConfig() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout: dialTimeout,
 		MaxIdleTimeout:       idleTimeout,
 		KeepAlivePeriod:      keepAlive,
 		MaxIncomingStreams:   maxStreams,
+
+		MaxStreamReceiveWindow:     streamWindowBytes,
+		MaxConnectionReceiveWindow: connWindowBytes,
 	}
 }
 
@@ -57,22 +78,28 @@
 	for _, conn := range c.conns {
 		_ = conn.CloseWithError(0, "closing")
 	}
-	c.conns = map[string]*quic.Conn{}
+	c.conns = map[endpoint]*quic.Conn{}
 }
 
 // Do forwards r to the instance that dispatches to server. Errors are
 // *code.Error; what was never sent is said not to have run.
 func (c *Client) Do(ctx context.Context, server *route.Server, r *dispatch.Request) (*dispatch.Answer, error) {
-	conn, err := c.conn(ctx, server)
-	if err != nil {
-		return nil, code.NewError(code.DispatcherBusy, err.Error())
-	}
-	stream, err := conn.OpenStreamSync(ctx)
+	e := endpoint{forward: server.Forward, fingerprint: string(server.Fingerprint), bulk: isBulk(r)}
+	stream, err := c.open(ctx, e, requestStream)
 	if err != nil {
-		c.forget(server, conn)
 		return nil, code.NewError(code.DispatcherBusy, err.Error())
 	}
-	return exchange(ctx, stream, r)
+	return exchange(ctx, &countedStream{Stream: stream, row: c.traffic.row(r.Service, r.Kind.Rank)}, r)
+}
+
+// isBulk reports whether r goes over the connection for bulk work.
+func isBulk(r *dispatch.Request) bool {
+	return r.Kind.Rank == config.Bulk || streams(r)
+}
+
+// streams reports whether the body of r is sent after its head.
+func streams(r *dispatch.Request) bool {
+	return r.Body != nil && (r.Length < 0 || r.Length > inlineBytes)
 }
 
 func abort(s *quic.Stream) {
@@ -81,18 +108,18 @@
 }
 
 // exchange sends r on a fresh stream and reads the head of the answer.
-func exchange(ctx context.Context, stream *quic.Stream, r *dispatch.Request) (*dispatch.Answer, error) {
+func exchange(ctx context.Context, stream *countedStream, r *dispatch.Request) (*dispatch.Answer, error) {
 	head, err := newRequestHead(r)
 	if err != nil {
-		abort(stream)
+		abort(stream.Stream)
 		return nil, code.NewError(code.MalformedRequest, err.Error())
 	}
-	stop := context.AfterFunc(ctx, func() { abort(stream) })
+	stop := context.AfterFunc(ctx, func() { abort(stream.Stream) })
 	u := newUpload(stream, r.Body)
 	a, err := send(stream, head, u)
 	if err != nil {
 		stop()
-		abort(stream)
+		abort(stream.Stream)
 		u.stop()
 		return nil, lost(ctx, u, err)
 	}
@@ -108,7 +135,7 @@
 
 // send writes head and reads up to the answer; the body is streamed when the
 // dispatcher asks for it.
-func send(stream *quic.Stream, head requestHead, u *upload) (*answerHead, error) {
+func send(stream *countedStream, head requestHead, u *upload) (*answerHead, error) {
 	if err := writeFrame(stream, head); err != nil {
 		return nil, err
 	}
@@ -141,7 +168,7 @@
 	if r.Body == nil {
 		return head, nil
 	}
-	if r.Length < 0 || r.Length > inlineBytes {
+	if streams(r) {
 		head.Streams = true
 		return head, nil
 	}
@@ -168,38 +195,56 @@
 	}
 }
 
-func (c *Client) conn(ctx context.Context, server *route.Server) (*quic.Conn, error) {
-	if server.Forward == "" {
-		return nil, errors.New("the dispatcher is not a member")
+// open returns a fresh stream of kind k to e. The kind is written with the
+// first frame, so that after an error nothing was sent.
+func (c *Client) open(ctx context.Context, e endpoint, k streamKind) (*quic.Stream, error) {
+	conn, err := c.conn(ctx, e)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		c.forget(e, conn)
+		return nil, err
+	}
+	if _, err := stream.Write([]byte{byte(k)}); err != nil {
+		abort(stream)
+		return nil, err
+	}
+	return stream, nil
+}
+
+func (c *Client) conn(ctx context.Context, e endpoint) (*quic.Conn, error) {
+	if e.forward == "" {
+		return nil, errors.New("the instance is not a member")
 	}
-	id := string(server.Fingerprint)
 	c.mu.Lock()
-	conn, ok := c.conns[id]
+	conn, ok := c.conns[e]
 	c.mu.Unlock()
 	if ok && conn.Context().Err() == nil {
 		return conn, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := quic.DialAddr(ctx, server.Forward, c.identity.tlsConfig(only(server.Fingerprint)), quicConfig())
+	conn, err := quic.DialAddr(ctx, e.forward, c.identity.tlsConfig(only([]byte(e.fingerprint))), quicConfig())
 	if err != nil {
 		return nil, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if other, ok := c.conns[id]; ok && other.Context().Err() == nil {
+	if other, ok := c.conns[e]; ok && other.Context().Err() == nil {
 		_ = conn.CloseWithError(0, "second connection")
 		return other, nil
 	}
-	c.conns[id] = conn
+	c.conns[e] = conn
 	return conn, nil
 }
 
-func (c *Client) forget(server *route.Server, conn *quic.Conn) {
+func (c *Client) forget(e endpoint, conn *quic.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conns[string(server.Fingerprint)] == conn {
-		delete(c.conns, string(server.Fingerprint))
+	if c.conns[e] == conn {
+		delete(c.conns, e)
 	}
 	_ = conn.CloseWithError(0, "failed")
 }
@@ -209,7 +254,7 @@
 // broke.
 type streamBody struct {
 	io.Reader
-	stream *quic.Stream
+	stream *countedStream
 	upload *upload
 	stop   func() bool
 }
