--- a/core/control/grants.go
+++ b/core/control/grants.go
@@ -71,8 +71,11 @@
 }
 
 // decideHolds holds what moves away, or all work when the role is handed over.
+// Once the release of the role is on its way nothing is sent again, even when
+// the next dispatcher is lost.
 func (c *Core) decideHolds(v *state.Service, server state.Server, g *grantState, now time.Time) []Effect {
-	if c.state.IsMember(server.Row.Next) {
+	_, released := c.pending[releaseSubject(v, server)]
+	if released || c.state.IsMember(server.Row.Next) {
 		return c.handRole(v, server, g, now)
 	}
 	if g.handing {
--- /dev/null
+++ b/core/control/lease_bench_test.go
@@ -0,0 +1,44 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bronzewind.example/core/record"
+)
+
+// BenchmarkHeartbeats measures the heartbeats of one round at fleets of different sizes,
+// for a member that witnesses three others.
+func BenchmarkHeartbeats(b *testing.B) {
+	for _, n := range []int{8, 64, 1700} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f := newFaultFleet(b, 1, 0, nil)
+			f.run(time.Second)
+			core := f.instances["i0"].core
+			members := []record.Writer{core.self}
+			for k := 1; k < n; k++ {
+				w := record.Writer{Instance: fmt.Sprintf("i%d", k), Incarnation: 1}
+				region, domain := faultPlace(k)
+				f.append(record.Record{ID: "join" + w.Instance, Writer: w, Body: record.InstanceJoined{Region: region, FailureDomain: domain}})
+				members = append(members, w)
+			}
+			for k, w := range members {
+				row := record.WitnessRow{Member: w, Base: f.truth.Members[w.Instance].LeaseVersion}
+				for d := 1; d <= witnessCount; d++ {
+					row.Witnesses = append(row.Witnesses, members[(k+d)%n])
+				}
+				f.append(record.Record{ID: "name" + w.Instance, Body: record.WitnessesNamed{Rows: []record.WitnessRow{row}}})
+			}
+			core.Step(RecordsRead{First: core.log.Next(), Entries: f.entries[core.log.Next():], CaughtUp: true}, f.now)
+			now := f.now
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(testTick)
+				for _, w := range core.witnessing.watched {
+					core.Step(MessageReceived{From: w, Message: Heartbeat{Lease: core.longestLease}}, now)
+				}
+			}
+		})
+	}
+}
--- a/core/control/leave.go
+++ b/core/control/leave.go
@@ -65,6 +65,10 @@
 	}
 }
 
+func releaseSubject(v *state.Service, server state.Server) string {
+	return "role/" + v.Name + "/" + server.Row.Name
+}
+
 // handRole holds the work of a backend server whose dispatcher is to change,
 // and releases the role once nothing runs.
 func (c *Core) handRole(v *state.Service, server state.Server, g *grantState, now time.Time) []Effect {
@@ -76,6 +80,6 @@
 	if !g.handover.drained {
 		return nil
 	}
-	return c.propose("role/"+v.Name+"/"+server.Row.Name,
+	return c.propose(releaseSubject(v, server),
 		record.DispatcherReleased{Service: v.Name, Server: server.Row.Name, Epoch: g.epoch}, now)
 }
--- a/router/daemon/daemon.go
+++ b/router/daemon/daemon.go
@@ -130,6 +130,7 @@
 		dispatch.WithQuarantine(func(q record.Quarantined) { go func() { d.events <- control.CrashFound{Quarantine: q} }() }),
 		dispatch.WithDrained(func(e control.SlotsDrained) { d.events <- e }))
 	publish("dispatch", d.dispatch.Metrics())
+	publish("control", d.control.Counters())
 	d.entry = caller.NewServer(self, d.dispatch, d.client, d.log, caller.WithTracer(tracing.tracer))
 	return d, nil
 }
