--- a/core/control/history_checks_test.go
+++ b/core/control/history_checks_test.go
@@ -19,6 +19,7 @@
 // The promises that a history is checked for.
 const (
 	soleOwner       promise = "at most one owning server"
+	soleSender      promise = "at most one sending dispatcher"
 	durable         promise = "acknowledged assignments survive"
 	monotone        promise = "configuration never reverts"
 	inForce         promise = "configuration in force within 8 s"
@@ -58,6 +59,7 @@
 		accesses   []porcupine.Operation    // on the log's registers, by key
 		probes     []porcupine.Operation    // work accepted, by key
 		works      map[keyspace.Hash][]work // the same, where grants are not checked
+		roles      map[string]uint64        // highest epoch under which work was sent, by server
 		served     map[keyspace.Hash]bool   // at the end of the run
 		proposals  map[string]time.Duration
 		open       map[string][]int // writes not yet seen by an instance, by key
@@ -71,7 +73,7 @@
 
 func newHistory() *history {
 	return &history{
-		works: map[keyspace.Hash][]work{}, served: map[keyspace.Hash]bool{}, proposals: map[string]time.Duration{}, open: map[string][]int{}, latest: map[string]version{},
+		works: map[keyspace.Hash][]work{}, roles: map[string]uint64{}, served: map[keyspace.Hash]bool{}, proposals: map[string]time.Duration{}, open: map[string][]int{}, latest: map[string]version{},
 		seen: map[string]map[string]version{}, ready: map[record.Writer]bool{},
 		began: map[record.Writer]time.Duration{}, violations: map[promise]string{},
 	}
@@ -234,6 +236,15 @@
 	}
 }
 
+// sending checks that no instance sends work under an old role, after the next
+// dispatcher of the backend server has begun to send.
+func (h *history) sending(f *fleet, instance, server string, role uint64) {
+	if role < h.roles[server] {
+		h.violate(f, soleSender, "%s sends to %s under epoch %d after epoch %d", instance, server, role, h.roles[server])
+	}
+	h.roles[server] = max(role, h.roles[server])
+}
+
 // probed notes that a backend server began work of a key. If servers check no
 // grants, no other may be at work of the key.
 func (h *history) probed(f *fleet, w work) {
--- a/core/control/history_fakes_test.go
+++ b/core/control/history_fakes_test.go
@@ -310,6 +310,7 @@
 		return
 	}
 	f, s, sent, role := n.fleet, d.server, n.fleet.now, d.granted.Epoch
+	f.history.sending(f, n.name, s.name, role)
 	f.probes++
 	number := f.probes
 	d.running[number] = key
--- a/core/control/history_fleet_test.go
+++ b/core/control/history_fleet_test.go
@@ -79,6 +79,8 @@
 		up          bool
 		paused      bool
 		leaving     bool
+		pausedAt    time.Duration
+		stopped     time.Duration // time that its clock did not count
 		inbox       []control.Event
 		rate        float64 // of its clock, in local seconds per second
 		table       *route.Table
@@ -229,7 +231,8 @@
 func (n *instance) index() int { return int(n.name[len(n.name)-1] - '0') }
 
 func (n *instance) clock() time.Time {
-	return time.Unix(int64(1000*(n.index()+1)), 0).Add(time.Duration(float64(n.fleet.now) * n.rate))
+	now := n.fleet.now - n.stopped
+	return time.Unix(int64(1000*(n.index()+1)), 0).Add(time.Duration(float64(now) * n.rate))
 }
 
 // inRun makes run do nothing once the present run of the instance has ended.
@@ -268,6 +271,9 @@
 
 func (n *instance) resume() {
 	n.paused = false
+	if n.fleet.mutant == withStoppedClock {
+		n.stopped += n.fleet.now - n.pausedAt
+	}
 	inbox := n.inbox
 	n.inbox = nil
 	for _, e := range inbox {
--- a/core/control/history_test.go
+++ b/core/control/history_test.go
@@ -34,6 +34,7 @@
 	withForgetfulLog        // the log loses its newest records
 	withStaleRestart        // a restarted instance reads an old copy of the log
 	withDeafInstance        // an instance misses later configurations
+	withStoppedClock        // a paused instance does not see that time passed
 	withoutTakeover         // no loss of an instance reaches the log
 )
 
@@ -110,7 +111,7 @@
 
 func beginPause(f *fleet) func() {
 	n := f.anyInstance()
-	n.paused = true
+	n.paused, n.pausedAt = true, f.now
 	incarnation := n.incarnation
 	return func() {
 		if n.incarnation == incarnation && n.paused {
@@ -302,6 +303,7 @@
 		{"without fence", withoutFence, soleOwner, []string{"noise"}},
 		{"without lapse wait", withoutLapseWait, soleOwner, []string{"server partition"}},
 		{"without read-back", withoutReadBack, soleOwner, []string{"log answers lost"}},
+		{"stopped clock", withStoppedClock, soleSender, []string{"pause", "pause"}},
 		{"forgetful log", withForgetfulLog, durable, nil},
 		{"stale restart", withStaleRestart, monotone, []string{"restart"}},
 		{"deaf instance", withDeafInstance, inForce, nil},
