Carry measured loads between instances

Cause: the load of a backend server whose dispatcher sits on another instance than the coordinator had no encoding and was dropped on arrival.

--- a/core/control/encode.go
+++ b/core/control/encode.go
@@ -11,6 +11,7 @@
 	kindHeartbeat uint = iota + 1
 	kindHeartbeatAnswer
 	kindLostVote
+	kindLoadReported
 )
 
 // encodedMessage is one message in a datagram.
@@ -41,6 +42,8 @@
 		return kindHeartbeatAnswer
 	case LostVote:
 		return kindLostVote
+	case LoadReported:
+		return kindLoadReported
 	default:
 		return 0
 	}
@@ -74,6 +77,8 @@
 		return decodeBody[HeartbeatAnswer](e.Body)
 	case kindLostVote:
 		return decodeBody[LostVote](e.Body)
+	case kindLoadReported:
+		return decodeBody[LoadReported](e.Body)
 	default:
 		return nil, nil
 	}
--- a/core/control/member.go
+++ b/core/control/member.go
@@ -59,6 +59,8 @@
 		c.heartbeatAnswered(e.From, m)
 	case LostVote:
 		c.voteReceived(e.From, m)
+	case LoadReported:
+		c.takeLoad(m, now)
 	}
 	return nil
 }
