Hand over each slot as soon as its own work has ended

Cause: a planned move waited for the work of all slots that left a server together, so one long upload held the lookups of every other slot. Change: the dispatcher reports what has drained, and again as more does; only that is revoked and released. A test in which one slot has work in flight moves the 31 others of its server.

--- a/core/control/assign_test.go
+++ b/core/control/assign_test.go
@@ -87,7 +87,7 @@
 	n := f.dispatcher("s1")
 	n.inFlight["s1"] = false
 	h := n.holds[len(n.holds)-1]
-	f.step(n, SlotsDrained{Service: h.Service, Server: h.Server, Hold: h.Hold})
+	f.step(n, SlotsDrained{Service: h.Service, Server: h.Server, Hold: h.Hold, Ranges: h.Ranges})
 	f.run(2 * time.Second)
 	if diff := cmp.Diff(map[string]int{"s3": 64}, f.owned()); diff != "" {
 		t.Errorf("slots owned (-want +got):\n%s", diff)
@@ -189,7 +189,8 @@
 }
 
 func TestEarlierGrantsAnswerRevokesNothing(t *testing.T) {
-	h := handover{ownership: ownership{slots: []record.SlotRange{{First: 3, Last: 3, Server: "s1"}}}, drained: true, sequence: 7}
+	held := ownership{slots: []record.SlotRange{{First: 3, Last: 3, Server: "s1"}}}
+	h := handover{ownership: held, done: held, drained: true, sequence: 7}
 	got := map[uint64]bool{}
 	for _, sequence := range []uint64{6, 7, 8} {
 		got[sequence] = h.revokedBy(backend.Grant{Sequence: sequence}, 64)
@@ -244,3 +245,25 @@
 		})
 	}
 }
+
+func TestSlotsWithoutWorkMoveWhileOthersDrain(t *testing.T) {
+	f := newTestFleet(t, 1, "s1", "s2")
+	f.run(3 * time.Second)
+	n := f.nodes[0]
+	n.inFlight["s1"] = true
+	f.listed[0].Leaving = true
+	f.run(500 * time.Millisecond)
+	h := n.holds[len(n.holds)-1]
+	busy := h.Ranges[0].First
+	rest := subtract(h.Ranges, []record.SlotRange{{First: busy, Last: busy}})
+	f.step(n, SlotsDrained{Service: h.Service, Server: h.Server, Hold: h.Hold, Ranges: rest})
+	f.run(time.Second)
+	if diff := cmp.Diff(map[string]int{"s1": 1, "s2": 63}, f.owned()); diff != "" {
+		t.Errorf("slots owned while one has work in flight (-want +got):\n%s", diff)
+	}
+	f.step(n, SlotsDrained{Service: h.Service, Server: h.Server, Hold: h.Hold, Ranges: h.Ranges})
+	f.run(time.Second)
+	if diff := cmp.Diff(map[string]int{"s2": 64}, f.owned()); diff != "" {
+		t.Errorf("slots owned (-want +got):\n%s", diff)
+	}
+}
--- a/core/control/control.go
+++ b/core/control/control.go
@@ -53,11 +53,13 @@
 		Err             string
 	}
 
-	// SlotsDrained says that no request of the held slots and keys runs any more.
+	// SlotsDrained says that no request of these held slots and keys runs any
+	// more; of the others held some still do.
 	SlotsDrained struct {
 		Service, Server string
 		Hold            uint64 // of the HoldSlots
 		Ranges          []record.SlotRange
+		Keys            []keyspace.Hash
 	}
 
 	// CrashFound asks for a request that crashed backend servers to be
--- a/core/control/handover.go
+++ b/core/control/handover.go
@@ -29,13 +29,15 @@
 
 	// handover is the planned move of slots and hot keys away from a backend
 	// server: work is held, then the work in flight ends, then a grant without
-	// them is accepted, then the release is recorded. They stay held and
-	// ungranted until the state shows the release, or the end of the move.
+	// them is accepted, then the release is recorded, each slot and key as soon
+	// as it can. They stay held and ungranted until the state shows the release,
+	// or the end of the move.
 	handover struct {
 		ownership           // held; empty when nothing is handed over
 		number    uint64    // of the hold
 		since     time.Time // begin of the hold
-		drained   bool      // no work of what is held is in flight
+		done      ownership // of it, what has no work in flight any more
+		drained   bool      // done is all that is held
 		sequence  uint64    // of the last grant sent before it was drained
 		notBefore time.Time // work of an earlier dispatcher may be in flight until then
 	}
@@ -67,6 +69,7 @@
 	h := &g.handover
 	h.slots = intersect(h.slots, g.share.leaving.slots)
 	h.keys = slices.DeleteFunc(slices.Clone(h.keys), func(k keyspace.Hash) bool { return !slices.Contains(g.share.leaving.keys, k) })
+	h.done = h.finished()
 	if !h.empty() || g.share.leaving.empty() || now.Before(h.notBefore) {
 		return nil
 	}
@@ -76,53 +79,76 @@
 // hold stops new work of o; SlotsDrained answers.
 func (c *Core) hold(v *state.Service, server state.Server, h *handover, o ownership, now time.Time) []Effect {
 	c.holds++
-	h.ownership, h.number, h.since, h.drained = o, c.holds, now, false
+	h.ownership, h.number, h.since, h.done, h.drained = o, c.holds, now, ownership{}, false
 	return []Effect{HoldSlots{
 		Service: v.Name, Server: server.Row.Name, Hold: h.number, Ranges: h.slots, Keys: h.keys,
 		Limit: c.timing().DrainLimit.Std(),
 	}}
 }
 
-// drained revokes what is held: the next grant goes out without it.
+// finished returns what is held and has no work in flight.
+func (h *handover) finished() ownership {
+	return ownership{slots: intersect(h.slots, h.done.slots), keys: common(h.keys, h.done.keys)}
+}
+
+// drained revokes what has no work in flight: the next grant goes out without
+// it.
 func (c *Core) drained(e SlotsDrained, now time.Time) []Effect {
 	g, ok := c.grants[serverKey{service: e.Service, server: e.Server}]
 	v, configured := c.state.Services[e.Service]
-	if !ok || !configured || !c.holdsLease(now) || g.handover.empty() || e.Hold != g.handover.number || g.handover.drained {
+	if !ok || !configured || !c.holdsLease(now) || e.Hold != g.handover.number {
+		return nil
+	}
+	h := &g.handover
+	before := h.finished()
+	h.done = ownership{
+		slots: subtract(h.slots, subtract(subtract(h.slots, before.slots), e.Ranges)),
+		keys:  common(h.keys, append(slices.Clone(before.keys), e.Keys...)),
+	}
+	if h.empty() || len(h.done.keys) == len(before.keys) && slices.Equal(h.done.slots, before.slots) {
 		return nil
 	}
-	g.handover.drained, g.handover.sequence = true, g.sequence
+	h.drained = len(h.done.keys) == len(h.keys) && len(subtract(h.slots, h.done.slots)) == 0
+	h.sequence = g.sequence
 	return []Effect{c.sendGrant(v, v.Servers[e.Server], g, now)}
 }
 
+// common returns the keys of a that are also in b.
+func common(a, b []keyspace.Hash) []keyspace.Hash {
+	return slices.DeleteFunc(slices.Clone(a), func(k keyspace.Hash) bool { return !slices.Contains(b, k) })
+}
+
 // fill writes into grant what s holds, but for what is drained.
 func (h *handover) fill(grant *backend.Grant, s *share, slots int) {
 	grant.Slots, grant.Keys, grant.Except = s.slots, s.keys, s.except
-	if !h.drained || h.empty() {
+	done := h.finished()
+	if done.empty() {
 		return
 	}
-	grant.Slots = subtract(s.slots, h.slots)
-	grant.Keys = slices.DeleteFunc(slices.Clone(s.keys), func(k keyspace.Hash) bool { return slices.Contains(h.keys, k) })
-	for _, k := range h.keys {
+	grant.Slots = subtract(s.slots, done.slots)
+	grant.Keys = slices.DeleteFunc(slices.Clone(s.keys), func(k keyspace.Hash) bool { return slices.Contains(done.keys, k) })
+	for _, k := range done.keys {
 		if covers(grant.Slots, k.Slot(slots)) {
 			grant.Except = append(slices.Clone(grant.Except), k)
 		}
 	}
 }
 
-// revokedBy reports whether the grant was sent after the drain and gives
-// nothing that is held.
+// revokedBy reports whether the grant was sent after the last drain and gives
+// nothing that is drained.
 func (h *handover) revokedBy(grant backend.Grant, slots int) bool {
-	if !h.drained || h.empty() || grant.Sequence <= h.sequence || !disjoint(grant.Slots, h.slots) {
+	done := h.finished()
+	if done.empty() || grant.Sequence <= h.sequence || !disjoint(grant.Slots, done.slots) {
 		return false
 	}
-	return !slices.ContainsFunc(h.keys, func(k keyspace.Hash) bool { return grant.Covers(k, k.Slot(slots)) })
+	return !slices.ContainsFunc(done.keys, func(k keyspace.Hash) bool { return grant.Covers(k, k.Slot(slots)) })
 }
 
-// release records that the backend server gave up what is held.
+// release records that the backend server gave up what is drained.
 func (c *Core) release(v *state.Service, server state.Server, g *grantState, now time.Time) []Effect {
-	name := server.Row.Name
-	body := record.SlotsReleased{Service: v.Name, Epoch: g.epoch, Ranges: g.handover.slots, Through: v.Version}
-	for _, k := range g.handover.keys {
+	name, done := server.Row.Name, g.handover.finished()
+	body := record.SlotsReleased{Service: v.Name, Epoch: g.epoch, Ranges: done.slots, Through: v.Version}
+	for _, k := range done.keys {
 		body.Keys = append(body.Keys, record.KeyRow{Hash: k, Server: name})
 	}
 	return c.propose("release/"+v.Name+"/"+name, body, now)
--- a/core/control/history_fakes_test.go
+++ b/core/control/history_fakes_test.go
@@ -290,7 +290,7 @@
 			return
 		}
 	}
-	event := control.SlotsDrained{Service: serviceName, Server: d.server.name, Hold: d.held.Hold, Ranges: d.held.Ranges}
+	event := control.SlotsDrained{Service: serviceName, Server: d.server.name, Hold: d.held.Hold, Ranges: d.held.Ranges, Keys: d.held.Keys}
 	d.held.Hold = 0
 	n.fleet.after(0, n.inRun(func() { n.post(event) }))
 }
--- a/router/dispatch/dispatcher.go
+++ b/router/dispatch/dispatcher.go
@@ -104,19 +104,14 @@
 	d.reportDrained()
 }
 
-// reportDrained tells control once nothing that is held has work in flight;
-// d.mu is held.
+// reportDrained tells control what of the held slots and keys has no work in
+// flight; d.mu is held.
 func (d *Dispatcher) reportDrained() {
-	if !d.owned.holding() || d.owned.drained {
+	slots, keys, changed := d.owned.drain(d.running)
+	if !changed {
 		return
 	}
-	for j := range d.running {
-		if d.owned.held(j.slot, j.request.Hash) {
-			return
-		}
-	}
-	d.owned.drained = true
-	event := control.SlotsDrained{Service: d.server.Service, Server: d.server.Name, Hold: d.owned.number, Ranges: d.owned.heldSlots}
+	event := control.SlotsDrained{Service: d.server.Service, Server: d.server.Name, Hold: d.owned.number, Ranges: slots, Keys: keys}
 	go d.set.drained(event)
 }
 
--- a/router/dispatch/ownership.go
+++ b/router/dispatch/ownership.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 
 	"bronzewind.example/core/control"
@@ -17,7 +18,7 @@
 	heldSlots []record.SlotRange
 	heldKeys  []keyspace.Hash
 	number    uint64 // of the hold
-	drained   bool   // it was reported that nothing held has work in flight
+	busy      int    // held slots and keys with work in flight at the last report; -1 before the first
 }
 
 // authorize takes an accepted grant.
@@ -33,15 +34,63 @@
 	}
 	o.keys, o.except = setOf(a.Keys), setOf(a.Except)
 	if !slices.Equal(o.heldSlots, a.Held) || !slices.Equal(o.heldKeys, a.HeldKeys) {
-		o.heldSlots, o.heldKeys, o.drained = a.Held, a.HeldKeys, false
+		o.heldSlots, o.heldKeys, o.busy = a.Held, a.HeldKeys, -1
 	}
 }
 
 func (o *ownership) hold(h control.HoldSlots) {
-	o.heldSlots, o.heldKeys, o.number, o.drained = h.Ranges, h.Keys, h.Hold, false
+	o.heldSlots, o.heldKeys, o.number, o.busy = h.Ranges, h.Keys, h.Hold, -1
 }
 
-func (o *ownership) holding() bool { return len(o.heldSlots)+len(o.heldKeys) > 0 }
+// drain returns what is held and has no work among running, and whether that
+// has changed since the last call.
+func (o *ownership) drain(running map[*job]struct{}) (slots []record.SlotRange, keys []keyspace.Hash, changed bool) {
+	if len(o.heldSlots)+len(o.heldKeys) == 0 {
+		return nil, nil, false
+	}
+	busySlots, busyKeys := map[keyspace.Slot]struct{}{}, map[keyspace.Hash]struct{}{}
+	for j := range running {
+		switch h := j.request.Hash; {
+		case !o.held(j.slot, h):
+		case slices.Contains(o.heldKeys, h):
+			busyKeys[h] = struct{}{}
+		default:
+			busySlots[j.slot] = struct{}{}
+		}
+	}
+	busy := len(busySlots) + len(busyKeys)
+	if changed = busy != o.busy; !changed {
+		return nil, nil, false
+	}
+	o.busy = busy
+	for _, h := range o.heldKeys {
+		if _, ok := busyKeys[h]; !ok {
+			keys = append(keys, h)
+		}
+	}
+	return without(o.heldSlots, busySlots), keys, true
+}
+
+// without returns the slots of rs that are not in busy, as ranges in order.
+func without(rs []record.SlotRange, busy map[keyspace.Slot]struct{}) []record.SlotRange {
+	var out []record.SlotRange
+	for _, r := range rs {
+		from := r.First
+		for _, slot := range slices.Sorted(maps.Keys(busy)) {
+			if slot < from || slot > r.Last {
+				continue
+			}
+			if slot > from {
+				out = append(out, record.SlotRange{First: from, Last: slot - 1, Server: r.Server})
+			}
+			from = slot + 1
+		}
+		if from <= r.Last {
+			out = append(out, record.SlotRange{First: from, Last: r.Last, Server: r.Server})
+		}
+	}
+	return out
+}
 
 // held reports whether work of the key with hash h in slot is held.
 func (o *ownership) held(slot keyspace.Slot, h keyspace.Hash) bool {
