--- a/operator/commands.go
+++ b/operator/commands.go
@@ -19,6 +19,7 @@
 	"bronzewind.example/operator/fleet"
 	"bronzewind.example/operator/generate"
 	"bronzewind.example/operator/publish"
+	"bronzewind.example/operator/quarantine"
 )
 
 const (
@@ -47,11 +48,40 @@
 		return runStatus(ctx, o, out)
 	case "explain":
 		return runExplain(ctx, o, out)
+	case "quarantine":
+		return runQuarantine(ctx, o, out)
+	case "release":
+		return runRelease(ctx, o, out)
 	default:
 		return errUsage
 	}
 }
 
+func runQuarantine(ctx context.Context, o *options, out io.Writer) error {
+	s, err := fleet.Read(ctx, platform.NewClient(o.url))
+	if err != nil {
+		return err
+	}
+	rows := quarantine.List(s, time.Now())
+	if o.json {
+		return json.NewEncoder(out).Encode(rows)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "service\tfingerprint\tuntil")
+	for _, r := range rows {
+		fmt.Fprintf(w, "%s\t%s\t%s\n", r.Service, r.Fingerprint, r.Until.Format(time.RFC3339))
+	}
+	return w.Flush()
+}
+
+func runRelease(ctx context.Context, o *options, out io.Writer) error {
+	if err := quarantine.Release(ctx, platform.NewClient(o.url), o.file, o.second, o.author); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%s of %s may run again\n", o.second, o.file)
+	return nil
+}
+
 func runQuestionnaire(o *options, in io.Reader, out, errOut io.Writer) error {
 	from := &answers.Answers{}
 	if o.from != "" {
--- a/operator/options.go
+++ b/operator/options.go
@@ -24,7 +24,9 @@
   bronzectl diff old.yaml new.yaml
   bronzectl publish configuration.yaml --platform http://127.0.0.1:8000 --author kim
   bronzectl status --platform http://127.0.0.1:8000 --json
-  bronzectl explain A-1042 --service proofs`
+  bronzectl explain A-1042 --service proofs
+  bronzectl quarantine
+  bronzectl release proofs 00c0ffee00c0ffee --author kim`
 
 // parseOptions reads the command line; a wrong one prints help and ends the
 // process with exitUsage.
@@ -68,6 +70,16 @@
 	explain.String(&o.url, "p", "platform", "URL of the platform")
 	explain.Bool(&o.json, "", "json", "write JSON")
 
+	quarantine := command(p, "quarantine", "list the requests that crashed backend servers and are refused")
+	quarantine.String(&o.url, "p", "platform", "URL of the platform")
+	quarantine.Bool(&o.json, "", "json", "write JSON")
+
+	release := command(p, "release", "let a request in quarantine run again")
+	release.AddPositionalValue(&o.file, "service", 1, true, "the service")
+	release.AddPositionalValue(&o.second, "fingerprint", 2, true, "as quarantine lists it")
+	release.String(&o.author, "a", "author", "who releases")
+	release.String(&o.url, "p", "platform", "URL of the platform")
+
 	if err := p.ParseArgs(args); err != nil {
 		return nil, err
 	}
--- a/router/dispatch/suspects.go
+++ b/router/dispatch/suspects.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/binary"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -125,14 +126,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if until := s.quarantined[quarantineKey{service: r.Service, print: p}]; s.clock.Now().Before(until) {
-		return 0, code.NewError(code.Quarantined, "the request crashed backend servers")
+		return 0, code.NewError(code.Quarantined, fmt.Sprintf("the request crashed backend servers; its fingerprint is %016x", uint64(p)))
 	}
 	row, ok := s.rows[p]
 	switch {
 	case !ok || s.clock.Now().After(row.until):
 		return 0, nil
 	case row.crashes >= crashesToBlock:
-		return 0, code.NewError(code.Quarantined, "a second backend server died while it ran the request alone")
+		return 0, code.NewError(code.Quarantined, fmt.Sprintf("a second backend server died while it ran the request alone; its fingerprint is %016x", uint64(p)))
 	default:
 		return row.crashes, nil
 	}
