--- a/core/control/fake_test.go
+++ b/core/control/fake_test.go
@@ -1,7 +1,7 @@
 package control
 
 import (
-	"container/heap"
+	pq "container/heap"
 	"fmt"
 	"testing"
 	"time"
@@ -140,14 +140,14 @@
 
 func (f *faultFleet) after(d time.Duration, run func()) {
 	f.order++
-	heap.Push(&f.queue, faultCall{at: f.now.Add(d), order: f.order, run: run})
+	pq.Push(&f.queue, faultCall{at: f.now.Add(d), order: f.order, run: run})
 }
 
 // run lets virtual time pass.
 func (f *faultFleet) run(d time.Duration) {
 	end := f.now.Add(d)
 	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
-		c := heap.Pop(&f.queue).(faultCall)
+		c := pq.Pop(&f.queue).(faultCall)
 		f.now = c.at
 		c.run()
 	}
