--- a/router/dispatch/dispatcher_test.go
+++ b/router/dispatch/dispatcher_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -318,3 +319,34 @@
 		}
 	})
 }
+
+// BenchmarkQueuedRequest is the memory that one queued request holds at its
+// dispatcher, with the goroutine that waits for it.
+func BenchmarkQueuedRequest(b *testing.B) {
+	const queued = 10000
+	s := harrowmere().service
+	s.Kinds[1].QueueLimit, s.Kinds[1].Patience, s.Kinds[1].Floor = queued, config.Duration(time.Hour), 0
+	for b.Loop() {
+		t := newBench(s)
+		t.start("a")
+		d, _ := t.set.dispatcher(s.Name, "a")
+		before := heldBytes()
+		var done sync.WaitGroup
+		for range queued {
+			done.Go(func() { t.do(1, "/q", "k") })
+		}
+		for total := 0; total < queued; total, _ = d.load(config.Normal) {
+			runtime.Gosched()
+		}
+		b.ReportMetric(float64(heldBytes()-before)/queued, "bytes/queued")
+		t.set.Close()
+		done.Wait()
+	}
+}
+
+func heldBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
