--- a/core/control/control.go
+++ b/core/control/control.go
@@ -73,6 +73,13 @@
 	// Ticked lets time pass.
 	Ticked struct{}
 
+	// LeaveRequested starts a graceful leave: the roles are handed over.
+	LeaveRequested struct{}
+
+	// TrafficStopped says, after LeaveRequested, that the instance serves no
+	// request any more, so that its membership can end.
+	TrafficStopped struct{}
+
 	// ReadLog asks for the log to be read from an offset on.
 	ReadLog struct{ From uint64 }
 
@@ -83,6 +90,7 @@
 	SendGrant struct {
 		Address string
 		Grant   backend.Grant
+		Checks  bool // the server checks grants; one that doesn't is only asked whether it answers
 	}
 
 	// SetTable replaces the snapshot that traffic reads.
@@ -119,6 +127,10 @@
 		Message Message
 	}
 
+	// RunEnded says that the membership of this run has ended; the core does
+	// nothing any more. A new run needs a core and an incarnation of its own.
+	RunEnded struct{}
+
 	// Log asks for a log line.
 	Log struct {
 		Message string
@@ -145,6 +157,16 @@
 		saved    savedState
 		sequence uint64
 		holds    uint64
+
+		began        time.Time     // of the first step
+		stepped      time.Time     // the last step
+		longestLease time.Duration // of all configurations folded
+		admitted     bool          // the run has been a member
+		over         bool          // the run's membership ended
+		lease        leaseState
+		witnessing   witnessing
+		named        time.Time // when witnesses were last looked over
+		leave        leavePhase
 	}
 
 	serverKey struct{ service, server string }
@@ -153,6 +175,7 @@
 	pending struct {
 		record record.Record
 		tries  int
+		made   time.Time // first append
 		due    time.Time // when it is appended again
 	}
 )
@@ -166,6 +189,8 @@
 func (MessageReceived) event()  {}
 func (Ticked) event()           {}
 func (CrashFound) event()       {}
+func (LeaveRequested) event()   {}
+func (TrafficStopped) event()   {}
 
 func (ReadLog) effect()     {}
 func (Append) effect()      {}
@@ -174,6 +199,7 @@
 func (Authorize) effect()   {}
 func (HoldSlots) effect()   {}
 func (SendMessage) effect() {}
+func (RunEnded) effect()    {}
 func (Log) effect()         {}
 
 // NewCore returns the control state of the instance self before any event.
@@ -190,11 +216,28 @@
 		loads:   map[serverKey]measuredLoad{},
 		plans:   map[string]*planState{},
 		vacant:  map[string]time.Time{},
+
+		lease:      newLeaseState(),
+		witnessing: newWitnessing(),
 	}
 }
 
+// NextRun returns the core of a new run of the instance, which joins again
+// after RunEnded. It keeps what was folded and listed.
+func (c *Core) NextRun(incarnation uint64) *Core {
+	next := NewCore(record.Writer{Instance: c.self.Instance, Incarnation: incarnation}, c.joined)
+	next.log, next.state, next.caughtUp, next.oldest = c.log, c.state, c.caughtUp, c.oldest
+	next.listed, next.loads = c.listed, c.loads
+	next.readAt, next.longestLease = c.readAt, c.longestLease
+	return next
+}
+
 // Step takes one event and returns what is to be done, in order.
 func (c *Core) Step(e Event, now time.Time) []Effect {
+	if c.over {
+		return nil
+	}
+	c.begin(now)
 	var out []Effect
 	switch e := e.(type) {
 	case RecordsRead:
@@ -202,7 +245,7 @@
 	case LogTruncated:
 		out = c.truncated(e)
 	case SnapshotReceived:
-		out = c.adopt(e)
+		out = c.adopt(e, now)
 	case ServersListed:
 		c.list(e, now)
 	case GrantAnswered:
@@ -215,11 +258,34 @@
 		out = c.propose(fmt.Sprintf("quarantine/%s/%d", e.Quarantine.Service, e.Quarantine.Fingerprint), e.Quarantine, now)
 	case MessageReceived:
 		out = c.received(e, now)
+	case LeaveRequested:
+		c.leave = handingOver
+	case TrafficStopped:
+		c.leave = trafficStopped
 	case Ticked:
 	}
+	if c.admitted && !c.state.IsMember(c.self) {
+		c.over = true
+		return append(out, RunEnded{})
+	}
 	return append(out, c.decide(now)...)
 }
 
+// begin takes note of the time and of a gap since the last step, in which the
+// instance may have been paused.
+func (c *Core) begin(now time.Time) {
+	if c.began.IsZero() {
+		c.began, c.stepped = now, now
+	}
+	if now.Sub(c.stepped) > c.longestLease/2 {
+		c.graceAfterGap(now)
+	}
+	c.stepped = now
+}
+
+// Self returns the run that the core decides for.
+func (c *Core) Self() record.Writer { return c.self }
+
 // State returns the fold for queries; it is not to be changed.
 func (c *Core) State() *state.State { return c.state }
 
@@ -237,9 +303,16 @@
 	if c.state.Configuration == nil || !c.state.IsMember(c.self) {
 		return out
 	}
+	out = append(out, c.decideLease(now)...)
+	out = append(out, c.decideLosses(now)...)
 	if c.log.Whole() {
+		out = append(out, c.decideWitnesses(now)...)
+		out = append(out, c.decideLeave(now)...)
 		out = append(out, c.decideServices(now)...)
 		out = append(out, c.decideCheckpoint(now)...)
 	}
+	if !c.holdsLease(now) {
+		return out
+	}
 	return append(out, c.decideGrants(now)...)
 }
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -48,15 +48,18 @@
 		Forward       string `cbor:"4,keyasint"` // QUIC address of forwarded requests
 		Admin         string `cbor:"5,keyasint"` // HTTP address of probes and metrics
 		Fingerprint   []byte `cbor:"6,keyasint"` // SHA-256 of the instance's certificate
+		ControlKey    []byte `cbor:"7,keyasint"` // X25519 public key of control traffic
 	}
 
 	// InstanceLeft ends the writer's membership at its own wish; it holds
 	// nothing any more.
 	InstanceLeft struct{}
 
-	// InstanceLost ends the membership of another instance whose lease lapsed.
+	// InstanceLost ends the membership of another instance whose lease lapsed
+	// for good; void unless Base is the member's lease version.
 	InstanceLost struct {
 		Member Writer `cbor:"1,keyasint"`
+		Base   uint64 `cbor:"2,keyasint"`
 	}
 
 	// CoordinatorClaimed makes the writer coordinator; void unless Term
@@ -74,6 +77,7 @@
 		FailureDomain string `cbor:"4,keyasint"`
 		Dispatcher    Writer `cbor:"5,keyasint"`
 		Leaving       bool   `cbor:"6,keyasint"`
+		Next          Writer `cbor:"8,keyasint"`           // takes over once Dispatcher releases the role
 		Capacity      int    `cbor:"7,keyasint,omitempty"` // requests run at once; 0 means the service's server-slots
 	}
 
@@ -302,6 +306,14 @@
 		r.Body, err = decodeBody[Quarantined](e.Body)
 	case kindQuarantineReleased:
 		r.Body, err = decodeBody[QuarantineReleased](e.Body)
+	case kindLeaseRenewed:
+		r.Body, err = decodeBody[LeaseRenewed](e.Body)
+	case kindWitnessesNamed:
+		r.Body, err = decodeBody[WitnessesNamed](e.Body)
+	case kindInstanceLeaving:
+		r.Body, err = decodeBody[InstanceLeaving](e.Body)
+	case kindDispatcherReleased:
+		r.Body, err = decodeBody[DispatcherReleased](e.Body)
 	default:
 		return Record{}, &UnknownKindError{ID: e.ID, Kind: e.Kind}
 	}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -16,8 +16,11 @@
 type (
 	// Member is an instance that the log counts.
 	Member struct {
-		Writer record.Writer
-		Joined record.InstanceJoined
+		Writer       record.Writer
+		Joined       record.InstanceJoined
+		Witnesses    []record.Writer // none while the lease is renewed through the log
+		LeaseVersion uint64          // grows with each renewal through the log and each change of Witnesses
+		Leaving      bool            // it gets no new roles
 	}
 
 	// Server is a backend server under its dispatcher.
@@ -27,6 +30,10 @@
 		Up      bool   // as its dispatcher reported; a server that is not up owns nothing
 		Run     uint64 // incarnation that was last reported up
 		Leaving bool   // as its dispatcher reported; Row.Leaving is what the list says
+		// Handed says that an earlier dispatcher handed its role over while its
+		// lease held, so that its grants may have outlasted the role. The next
+		// report ends it.
+		Handed bool
 	}
 
 	// SlotRow is the ownership of one slot or hot key.
@@ -64,18 +71,19 @@
 
 	// State is the whole fold. It is not safe for concurrent use.
 	State struct {
-		Next          uint64                // offset of the next record to fold
-		Document      []byte                // of Configuration; empty before the first
-		Configuration *config.Configuration `cbor:"-"` // nil before the first
-		Author        string                // of the configuration in force
-		Members       map[string]Member     // by instance name
-		Departed      uint64                // memberships that ended so far
-		Quarantine    []record.Quarantined  // in order; at most maxQuarantine
-		Services      map[string]*Service
-		Checkpoint    Checkpoint
-		Seen          Seen   // accepted records that can still be repeated
-		Unknown       uint64 // records of unknown kinds so far; above 0 the state can't be relied on
-		reason        string // why the last record was not accepted
+		Next           uint64                // offset of the next record to fold
+		Document       []byte                // of Configuration; empty before the first
+		Configuration  *config.Configuration `cbor:"-"` // nil before the first
+		Author         string                // of the configuration in force
+		Members        map[string]Member     // by instance name
+		MembersChanged uint64                // offset after the last change of Members
+		Departed       uint64                // memberships that ended so far
+		Quarantine     []record.Quarantined  // in order; at most maxQuarantine
+		Services       map[string]*Service
+		Checkpoint     Checkpoint
+		Seen           Seen   // accepted records that can still be repeated
+		Unknown        uint64 // records of unknown kinds so far; above 0 the state can't be relied on
+		reason         string // why the last record was not accepted
 	}
 )
 
--- a/router/caller/fleet_test.go
+++ b/router/caller/fleet_test.go
@@ -44,6 +44,7 @@
 		url      string
 		address  string       // of the entry
 		listener net.Listener // of the door, when the test serves it
+		client   *peer.Client
 		entry    *caller.Server
 		set      *dispatch.Set
 		backend  *fakeBackend
@@ -179,7 +180,7 @@
 	table := newTable(t, f.document, o.address, relay, identity.Fingerprint(), self)
 	f.set = dispatch.NewSet(self)
 	t.Cleanup(f.set.Close)
-	f.set.SetTable(table)
+	f.set.SetTable(table.WithSelf(self))
 	f.authorize(table)
 	if o.local || o.noHop {
 		hop.Close()
@@ -187,13 +188,14 @@
 		f.serveHop(identity, hop)
 	}
 	client := peer.NewClient(identity)
+	f.client = client
 	t.Cleanup(client.Close)
 	var options []caller.Option
 	if o.clock != nil {
 		options = append(options, caller.WithClock(o.clock))
 	}
 	f.entry = caller.NewServer(entryWriter, f.set, client, slog.New(slog.DiscardHandler), options...)
-	f.entry.SetTable(table)
+	f.entry.SetTable(table.WithSelf(entryWriter))
 	if o.door {
 		f.listener, err = net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
--- a/router/dispatch/fleet_test.go
+++ b/router/dispatch/fleet_test.go
@@ -38,7 +38,7 @@
 		mu     sync.Mutex
 		sets   map[record.Writer]*Set // running instances
 		calls  map[MarkOperation]int
-		silent record.Writer // answers no call
+		silent map[record.Writer]bool // cut off from all others
 	}
 
 	// fakeBackend stands behind all dispatchers.
@@ -157,8 +157,8 @@
 // publish gives all instances the state as it is, and the dispatcher its grant.
 func (f *markFleet) publish() {
 	table := route.NewTable(f.state)
-	for _, s := range f.sets {
-		s.SetTable(table)
+	for w, s := range f.sets {
+		s.SetTable(table.WithSelf(w))
 		s.Authorize(control.Authorize{
 			Service: testService, Server: testServer, Epoch: f.service().Servers[testServer].Epoch, Incarnation: 1,
 			Until: time.Now().Add(24 * time.Hour), Granted: []record.SlotRange{{Last: testSlots - 1}},
@@ -185,7 +185,7 @@
 	f.calls[call.Operation]++
 	s, ok := f.sets[to.Writer]
 	_, calls := f.sets[call.From]
-	silent := to.Writer == f.silent
+	silent := f.silent[to.Writer] || f.silent[call.From]
 	f.mu.Unlock()
 	if !ok || !calls || silent {
 		return MarkReply{}, errors.New("unreachable")
--- a/router/dispatch/history.go
+++ b/router/dispatch/history.go
@@ -67,6 +67,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
+	previous := h.self // of a run that joined again; it kept its marks
+	h.self = t.Self
 	next := make(map[record.Writer]route.Member, len(t.Members))
 	for _, m := range t.Members {
 		next[m.Writer] = m
@@ -85,7 +87,7 @@
 	weak := h.mayBeWeak(now, weakGrace/2)
 	h.noteOneDomain(next, now)
 	for w, m := range h.members {
-		if _, ok := next[w]; !ok && w != h.self {
+		if _, ok := next[w]; !ok && w != h.self && w != previous {
 			h.depart(m, weak, now)
 		}
 	}
@@ -193,6 +195,31 @@
 	return k
 }
 
+// covered reports whether every mark of the retention time stands at a member
+// besides silent: those, and the ones that departed, are of one failure domain,
+// and placed no weak marks.
+func (h *history) covered(silent []route.Member) bool {
+	if len(silent) == 0 {
+		return true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock.Now()
+	domains := map[string]bool{}
+	for _, d := range h.departed {
+		if now.Sub(d.at) < h.retention {
+			domains[d.domain] = true
+		}
+	}
+	for _, m := range silent {
+		domains[m.FailureDomain] = true
+		if h.unmet[m.Writer] || h.weak[m.Writer].After(now) {
+			return false
+		}
+	}
+	return len(domains) == 1 && h.oneDomain.IsZero()
+}
+
 // doubt returns the time up to which marks that were placed may be lost; false
 // when none are.
 func (h *history) doubt() (from time.Time, any bool) {
@@ -239,6 +266,13 @@
 	return out
 }
 
+// run returns the present run of this instance.
+func (h *history) run() record.Writer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.self
+}
+
 // own returns the member that this instance is.
 func (h *history) own() route.Member {
 	h.mu.Lock()
--- a/router/dispatch/set.go
+++ b/router/dispatch/set.go
@@ -12,7 +12,6 @@
 
 	"bronzewind.example/core/clock"
 	"bronzewind.example/core/code"
-	"bronzewind.example/core/config"
 	"bronzewind.example/core/control"
 	"bronzewind.example/core/record"
 	"bronzewind.example/core/route"
@@ -107,7 +106,7 @@
 	s.suspects.tell = func(n SuspectNote) { s.replicas.tellSuspect(n) }
 	s.replicas = &replicas{
 		suspects: s.suspects,
-		self:     self, clock: s.clock, peers: s.peers, marks: s.marks, history: s.history, stop: make(chan struct{}),
+		clock:    s.clock, peers: s.peers, marks: s.marks, history: s.history, stop: make(chan struct{}), down: map[record.Writer]time.Time{},
 	}
 	return s
 }
@@ -123,7 +122,7 @@
 	old, servers := s.all(), map[serverKey]*Dispatcher{}
 	for i := range t.Configuration.Services {
 		if v, ok := t.Service(t.Configuration.Services[i].Name); ok {
-			s.addService(servers, old, v, t.Configuration.Callers)
+			s.addService(servers, old, v, t)
 		}
 	}
 	s.servers.Store(&servers)
@@ -145,18 +144,18 @@
 
 // addService adds the dispatchers of v that are this instance's, with the new
 // snapshot: those of old where there are any. s.mu is held.
-func (s *Set) addService(servers, old map[serverKey]*Dispatcher, v *route.Service, callers []config.Caller) {
+func (s *Set) addService(servers, old map[serverKey]*Dispatcher, v *route.Service, t *route.Table) {
 	rows := v.Servers()
 	for i := range rows {
-		if rows[i].Dispatcher != s.self {
+		if rows[i].Dispatcher != t.Self {
 			continue
 		}
 		key := serverKey{service: v.Config.Name, server: rows[i].Name}
 		d, ok := old[key]
 		if !ok {
-			d = newDispatcher(s, v, &rows[i], callers)
+			d = newDispatcher(s, v, &rows[i], t.Configuration.Callers)
 		}
-		d.setRoute(v, &rows[i], callers)
+		d.setRoute(v, &rows[i], t.Configuration.Callers)
 		servers[key] = d
 	}
 }
