Keep the cost of a step of control from growing with the fleet

Cause: every step looked at all backend servers of the fleet, for its own ones and for ones without a dispatcher, and the daemon made its status anew, with every member, at each step.

Change: both are looked for only when the fold has moved on, and the status is made anew only when it has changed.

--- a/core/control/claim.go
+++ b/core/control/claim.go
@@ -19,6 +19,12 @@
 	stallLimit = 2 * time.Second
 )
 
+// stall says whether a service was stalled as of an offset of the fold.
+type stall struct {
+	offset  uint64
+	stalled bool
+}
+
 // decideClaim claims the coordinator's role of v when it is vacant or stalled.
 // Members try one after the other, in an order that differs between services.
 func (c *Core) decideClaim(v *state.Service, now time.Time) []Effect {
@@ -51,8 +57,18 @@
 	}
 }
 
-// stalled reports whether a backend server of v waits for a dispatcher.
+// stalled reports whether a backend server of v waits for a dispatcher. The
+// servers are looked at only when the fold has moved on.
 func (c *Core) stalled(v *state.Service) bool {
+	if last, ok := c.stalls[v.Name]; ok && last.offset == c.state.Next {
+		return last.stalled
+	}
+	now := stall{offset: c.state.Next, stalled: c.lacksDispatcher(v)}
+	c.stalls[v.Name] = now
+	return now.stalled
+}
+
+func (c *Core) lacksDispatcher(v *state.Service) bool {
 	for _, s := range v.Servers {
 		if !c.state.IsMember(s.Row.Dispatcher) {
 			return true
--- a/core/control/control.go
+++ b/core/control/control.go
@@ -151,6 +151,8 @@
 		missing  map[serverKey]time.Time // since when the list names them no longer
 		pending  map[string]pending      // by subject; at most one record each
 		grants   map[serverKey]*grantState
+		stalls   map[string]stall // by service
+		own      ownServers
 		loads    map[serverKey]measuredLoad
 		plans    map[string]*planState // by service, while the instance coordinates it
 		vacant   map[string]time.Time  // by service, since when it has no coordinator
@@ -173,6 +175,14 @@
 
 	serverKey struct{ service, server string }
 
+	// ownServers are the backend servers that the instance dispatches to, as
+	// of an offset of the fold.
+	ownServers struct {
+		known  bool
+		offset uint64
+		keys   []serverKey // in order
+	}
+
 	// pending is a record whose fate is not known yet.
 	pending struct {
 		record record.Record
@@ -214,6 +224,7 @@
 		state:   log.State,
 		pending: map[string]pending{},
 		grants:  map[serverKey]*grantState{},
+		stalls:  map[string]stall{},
 		missing: map[serverKey]time.Time{},
 		loads:   map[serverKey]measuredLoad{},
 		plans:   map[string]*planState{},
--- a/core/control/grants.go
+++ b/core/control/grants.go
@@ -40,6 +40,21 @@
 // dispatches to.
 func (c *Core) decideGrants(now time.Time) []Effect {
 	var out []Effect
+	for _, key := range c.ownServers() {
+		v := c.state.Services[key.service]
+		out = append(out, c.decideServer(v, v.Servers[key.server], now)...)
+	}
+	return out
+}
+
+// ownServers returns the backend servers that the instance dispatches to, in
+// order. They are looked for only when the fold has moved on, so that a step
+// costs the same whatever the size of the fleet.
+func (c *Core) ownServers() []serverKey {
+	if c.own.known && c.own.offset == c.state.Next {
+		return c.own.keys
+	}
+	c.own = ownServers{known: true, offset: c.state.Next}
 	for _, v := range c.state.ServicesInOrder() {
 		for _, name := range v.ServerNames() {
 			key := serverKey{service: v.Name, server: name}
@@ -47,10 +62,10 @@
 				delete(c.grants, key)
 				continue
 			}
-			out = append(out, c.decideServer(v, v.Servers[name], now)...)
+			c.own.keys = append(c.own.keys, key)
 		}
 	}
-	return out
+	return c.own.keys
 }
 
 func (c *Core) decideServer(v *state.Service, server state.Server, now time.Time) []Effect {
--- a/router/daemon/daemon.go
+++ b/router/daemon/daemon.go
@@ -253,7 +253,7 @@
 		d.control.Send(m.to, m.messages)
 	}
 	d.ready.Store(d.core.Ready() && !d.leaving.Load())
-	d.status.Store(newStatus(d.core))
+	d.setStatus()
 }
 
 func (d *Daemon) carryOut(ctx context.Context, e control.Effect, grants *sync.WaitGroup) {
--- a/router/daemon/serve.go
+++ b/router/daemon/serve.go
@@ -53,6 +53,16 @@
 	return out
 }
 
+// setStatus replaces the status when it has changed. It names every member, so
+// that it is not made anew at each step.
+func (d *Daemon) setStatus() {
+	old := d.status.Load()
+	if old != nil && !d.leaving.Load() && old.Offset == d.core.State().Next && old.Ready == d.core.Ready() && old.Incarnation == d.core.Self().Incarnation {
+		return
+	}
+	d.status.Store(newStatus(d.core))
+}
+
 // serveCallers answers callers until ctx ends, then finishes what runs.
 func (d *Daemon) serveCallers(ctx context.Context) error {
 	done := make(chan error, 1)
