List the slots of a grant only when they change, and add the capacity page

Cause: each renewal listed all slots of its backend server: 3,788 bytes, 196 KB/s at 4.75 backend servers for each instance and a renewal every 92 ms, against 3 KB/s for all control.

Change: a renewal names the grant whose lists stand; a server that took other lists since refuses it and is sent them all.

Ruled out: longer grants, which put a lost server's keys past 1 s.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 MODULES := core router operator lab
 TOOLS   := $(CURDIR)/.bin
 
-.PHONY: help build test format lint vet race histories soak demo
+.PHONY: help build test format lint vet race histories soak demo tour capacity fuzz
 
 help: ## list the tasks
 	@awk -F ':.*## ' '/^[a-z-]+:.*## /{printf "%-10s %s\n", $$1, $$2}' Makefile
@@ -42,3 +42,11 @@
 
 demo: build ## run the main job on loopback
 	@scripts/demo
+
+tour: ## type the README's tour as it stands
+	@scripts/tour
+
+MACHINE ?= $(shell nproc) cores, Go $(shell go env GOVERSION)
+capacity: build ## measure the slopes of docs/CAPACITY.md and write its tables
+	@.bin/bronzelab capacity docs/CAPACITY.md docs/capacity-slopes.yaml --machine "$(MACHINE)"
+	@cd lab && go test -count=1 ./capacity
--- a/core/backend/protocol.go
+++ b/core/backend/protocol.go
@@ -40,11 +40,12 @@
 	Grant struct {
 		Service     string             `json:"service"`
 		Server      string             `json:"server"`
-		Epoch       uint64             `json:"epoch"`       // of the dispatcher role; a lower one is refused
-		Sequence    uint64             `json:"sequence"`    // grows with each grant of an epoch; a lower one is refused
-		Incarnation uint64             `json:"incarnation"` // 0 asks for the clock alone
-		UntilMicros int64              `json:"until-us"`    // on the backend server's clock
-		Slots       []record.SlotRange `json:"slots"`
+		Epoch       uint64             `json:"epoch"`             // of the dispatcher role; a lower one is refused
+		Sequence    uint64             `json:"sequence"`          // grows with each grant of an epoch; a lower one is refused
+		Incarnation uint64             `json:"incarnation"`       // 0 asks for the clock alone
+		UntilMicros int64              `json:"until-us"`          // on the backend server's clock
+		SameAs      uint64             `json:"same-as,omitempty"` // sequence of the grant of this epoch whose lists stand; 0 when they follow
+		Slots       []record.SlotRange `json:"slots,omitempty"`
 		Keys        []keyspace.Hash    `json:"keys,omitempty"`   // hot keys granted besides the slots
 		Except      []keyspace.Hash    `json:"except,omitempty"` // hot keys not granted though their slots are
 	}
@@ -53,9 +54,10 @@
 	GrantAnswer struct {
 		Accepted    bool   `json:"accepted"`
 		Reason      string `json:"reason,omitempty"`
-		Incarnation uint64 `json:"incarnation"` // differs between runs; never 0
-		ClockMicros int64  `json:"clock-us"`    // monotonic within a run
-		Epoch       uint64 `json:"epoch"`       // highest seen
+		Unlisted    bool   `json:"unlisted,omitempty"` // refused, since the lists of SameAs are not the last ones taken
+		Incarnation uint64 `json:"incarnation"`        // differs between runs; never 0
+		ClockMicros int64  `json:"clock-us"`           // monotonic within a run
+		Epoch       uint64 `json:"epoch"`              // highest seen
 		Leaving     bool   `json:"leaving"`
 	}
 
--- a/lab/backend/backend.go
+++ b/lab/backend/backend.go
@@ -70,6 +70,7 @@
 		sequence uint64
 		until    int64 // microseconds on the own clock
 		granted  core.Grant
+		listed   uint64 // sequence of granted
 		running  int
 		queued   int
 		seen     []Start
@@ -162,6 +163,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := core.GrantAnswer{Incarnation: s.incarnation, ClockMicros: s.clock(), Leaving: s.faults.Leaving}
+	a.Unlisted = g.SameAs != 0 && (g.Epoch != s.epoch || g.SameAs != s.listed || g.Incarnation != s.incarnation)
 	a.Reason = s.take(g)
 	a.Accepted = a.Reason == ""
 	a.Epoch = s.epoch
@@ -179,8 +181,13 @@
 		return "epoch is old"
 	case g.Epoch == s.epoch && g.Sequence <= s.sequence:
 		return "sequence is old"
+	case g.SameAs != 0 && (g.Epoch != s.epoch || g.SameAs != s.listed):
+		return "lists of the grant named are not the last ones"
+	}
+	s.epoch, s.sequence, s.until = g.Epoch, g.Sequence, g.UntilMicros
+	if g.SameAs == 0 {
+		s.granted, s.listed = g, g.Sequence
 	}
-	s.epoch, s.sequence, s.until, s.granted = g.Epoch, g.Sequence, g.UntilMicros, g
 	return ""
 }
 
--- a/lab/capacity/measure.go
+++ b/lab/capacity/measure.go
@@ -47,8 +47,10 @@
 		{"request", "microseconds of processor time, callers and backend server included", "requests through entry and dispatcher", []float64{2000, 4000, 8000}, requestTime},
 		{"direct", "microseconds of processor time, callers and backend server included", "requests straight to the backend server", []float64{2000, 4000, 8000}, directTime},
 		{"connection", "bytes held, with the caller's end", "idle caller connections", []float64{250, 500, 1000}, connectionMemory},
-		{"renewal", "microseconds of processor time, the backend server's end included", "renewals of a grant of 64 ranges", []float64{500, 1000, 2000}, renewalTime},
-		{"grant", "bytes of a renewal of a grant with its answer", "ranges of slots", []float64{1, 16, 64}, grantBytes},
+		{"renewal", "microseconds of processor time, the backend server's end included", "renewals of a grant", []float64{500, 1000, 2000}, renewalTime},
+		{"heartbeat", "bytes of a datagram with a heartbeat, with UDP and IP", "members", members, heartbeatBytes},
+		{"grant", "bytes of a grant that lists its slots, with its answer", "ranges of slots", []float64{1, 16, 64}, func(n float64) (float64, error) { return grantBytes(grantOf(int(n))) }},
+		{"renewal-size", "bytes of a renewal that names an earlier list, with its answer", "ranges of slots", []float64{1, 16, 64}, func(float64) (float64, error) { return grantBytes(renewalOf()) }},
 	}
 }
 
@@ -265,10 +267,17 @@
 	return g
 }
 
-// grantBytes is a renewal as it crosses the network: heads of request and
+// renewalOf returns a grant of what an earlier one listed.
+func renewalOf() backend.Grant {
+	g := grantOf(0)
+	g.SameAs = 1 << 30
+	return g
+}
+
+// grantBytes is a grant as it crosses the network: heads of request and
 // answer of HTTP/1.1, and the JSON of both.
-func grantBytes(ranges float64) (float64, error) {
-	request, err := json.Marshal(grantOf(int(ranges)))
+func grantBytes(g backend.Grant) (float64, error) {
+	request, err := json.Marshal(g)
 	if err != nil {
 		return 0, err
 	}
@@ -278,3 +287,20 @@
 	const packets = 4 * 52 // two segments and two acknowledgements
 	return float64(len(request) + len(answer) + heads + packets), err
 }
+
+// heartbeatBytes is the larger of a heartbeat and its answer on the network.
+func heartbeatBytes(float64) (float64, error) {
+	longest := 0
+	for _, m := range []control.Message{
+		control.Heartbeat{Round: 1 << 30, Lease: time.Second},
+		control.HeartbeatAnswer{Round: 1 << 30},
+	} {
+		data, err := control.EncodeMessages([]control.Message{m})
+		if err != nil {
+			return 0, err
+		}
+		longest = max(longest, len(data))
+	}
+	const heads = 16 + 8 + 20 // tag and authentication, UDP, IP
+	return float64(longest + heads), nil
+}
--- a/lab/capacity/size.go
+++ b/lab/capacity/size.go
@@ -51,7 +51,7 @@
 		Instances: instances, BackendServers: servers, Services: 3, Keys: keys,
 		Slots: powerOfTwo(servers * slotsPerServer), Requests: requests, RequestBytes: smallRequest,
 		ForwardedShare: 1 - 1/instances, ConfigChanges: changes, Restarts: restarts, Failures: 1, FailureDomains: 6,
-		HotKeyMoves: hotKeys / float64(hotKeyTurnover), GrantsPerSecond: 1 / 0.092, BeatsPerSecond: 1 / 0.115,
+		HotKeyMoves: hotKeys / float64(hotKeyTurnover), GrantsPerSecond: 1 / 0.123, BeatsPerSecond: 1 / 0.153,
 		Witnesses: 3, CallerConnections: requests / instances / callersPerSecond,
 	}
 }
--- a/lab/capacity/traffic.go
+++ b/lab/capacity/traffic.go
@@ -103,7 +103,7 @@
 	}))
 	defer target.Close()
 	return processorMicros(int(renewals), func(c *http.Client) error {
-		data, err := json.Marshal(grantOf(slotsPerServer))
+		data, err := json.Marshal(renewalOf())
 		if err != nil {
 			return err
 		}
--- a/lab/main.go
+++ b/lab/main.go
@@ -19,6 +19,7 @@
 	"bronzewind.example/core/document"
 	coreplatform "bronzewind.example/core/platform"
 	"bronzewind.example/lab/backend"
+	"bronzewind.example/lab/capacity"
 	"bronzewind.example/lab/load"
 	"bronzewind.example/lab/platform"
 )
@@ -29,7 +30,7 @@
 )
 
 var (
-	errUsage  = errors.New("name a command: platform, backend, load or compare; --help shows them")
+	errUsage  = errors.New("name a command: platform, backend, load, compare or capacity; --help shows them")
 	errBroken = errors.New("invariants are broken")
 )
 
@@ -56,6 +57,8 @@
 		return runLoad(ctx, o)
 	case "compare":
 		return runCompare(o)
+	case "capacity":
+		return runCapacity(o)
 	default:
 		return errUsage
 	}
@@ -164,3 +167,17 @@
 	}
 	return load.Compare(a, b, os.Stdout)
 }
+
+// runCapacity measures the slopes again and writes them and the page.
+func runCapacity(o *options) error {
+	slopes, err := capacity.Measure(o.name, func(s capacity.Slope) {
+		fmt.Printf("%s: %.4g + %.4g for each of %s\n", s.Name, s.Fixed, s.Per, s.Over)
+	})
+	if err != nil {
+		return err
+	}
+	if err := slopes.Write(o.files[1]); err != nil {
+		return err
+	}
+	return capacity.Update(o.files[0], slopes)
+}
--- a/lab/options.go
+++ b/lab/options.go
@@ -31,6 +31,7 @@
   bronzelab backend --listen 127.0.0.1:9001 --name proofs-1 --slots 6 --service-ms 10
   bronzelab load --config examples/magnolia/configuration.yaml --profile examples/magnolia/load.yaml --entries 127.0.0.1:8101,127.0.0.1:8102
   bronzelab compare before.json after.json
+  bronzelab capacity docs/CAPACITY.md docs/capacity-slopes.yaml --machine "10 cores, 32 GiB"
 faults are switched on from outside:
   curl -X PUT -d '{"down":true}' http://127.0.0.1:8000/faults
   curl -X PUT -d '{"frozen":true}' http://127.0.0.1:9001/faults`
@@ -68,6 +69,11 @@
 	compare.AddPositionalValue(&o.files[0], "a", 1, true, "summary as JSON")
 	compare.AddPositionalValue(&o.files[1], "b", 2, true, "summary as JSON")
 
+	capacity := command(p, "capacity", "measure the slopes of the capacity page and write both")
+	capacity.AddPositionalValue(&o.files[0], "page", 1, true, "page in Markdown")
+	capacity.AddPositionalValue(&o.files[1], "slopes", 2, true, "file of slopes in YAML")
+	capacity.String(&o.name, "m", "machine", "the machine, in words")
+
 	if err := p.ParseArgs(args); err != nil {
 		return nil, err
 	}
--- a/operator/generate/generate.go
+++ b/operator/generate/generate.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	heartbeatsPerLease   = 4
-	renewalsPerGrant     = 4
+	heartbeatsPerLease   = 3
+	renewalsPerGrant     = 3
 	slotsPerServer       = 64 // of the key space; balance to about 1 in 64
 	minSlots             = 1024
 	maxSlots             = 1 << 18
--- a/router/daemon/daemon.go
+++ b/router/daemon/daemon.go
@@ -17,11 +17,11 @@
 	"expvar"
 	"fmt"
 	"log/slog"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"bronzewind.example/core/backend"
 	"bronzewind.example/core/clock"
 	"bronzewind.example/core/config"
 	"bronzewind.example/core/control"
@@ -56,7 +56,7 @@
 		platform *platform.Client
 		identity *peer.Identity
 		tracing  *tracing
-		grants   *http.Client // to backend servers, for grants alone
+		grants   *backend.Client
 
 		core     *control.Core // used by the control goroutine alone
 		events   chan control.Event
@@ -121,7 +121,7 @@
 		encoded:  make(chan chan<- encodedState),
 		left:     make(chan struct{}),
 		client:   peer.NewClient(identity),
-		grants:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		grants:   backend.NewClient(),
 	}
 	d.control = peer.NewControl(key, d.received, d.log)
 	d.dispatch = dispatch.NewSet(self,
--- a/router/daemon/platform.go
+++ b/router/daemon/platform.go
@@ -1,15 +1,10 @@
 package daemon
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
-	"net/http"
 	"time"
 
-	"bronzewind.example/core/backend"
 	"bronzewind.example/core/control"
 	"bronzewind.example/core/platform"
 	"bronzewind.example/core/record"
@@ -163,7 +158,9 @@
 		Service: g.Grant.Service, Server: g.Grant.Server, Epoch: g.Grant.Epoch,
 		Sent: d.clock.Now(), Grant: g.Grant,
 	}
-	answer, err := d.putGrant(ctx, g)
+	limited, cancel := context.WithTimeout(ctx, grantTimeout)
+	defer cancel()
+	answer, err := d.grants.Grant(limited, g.Address, g.Grant, g.Checks)
 	if !g.Checks && err == nil && answer.Incarnation == 0 {
 		answer.Incarnation = unnamedRun
 	}
@@ -174,32 +171,6 @@
 	d.post(ctx, e)
 }
 
-func (d *Daemon) putGrant(ctx context.Context, g control.SendGrant) (backend.GrantAnswer, error) {
-	var a backend.GrantAnswer
-	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
-	defer cancel()
-	data, err := json.Marshal(g.Grant)
-	if err != nil {
-		return a, err
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+g.Address+backend.GrantPath, bytes.NewReader(data))
-	if err != nil {
-		return a, err
-	}
-	resp, err := d.grants.Do(req)
-	if err != nil {
-		return a, err
-	}
-	defer resp.Body.Close()
-	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil && g.Checks {
-		return a, fmt.Errorf("grant answer: %w", err)
-	}
-	if a.Incarnation == 0 && g.Checks {
-		return a, errors.New("grant answer names no incarnation")
-	}
-	return a, nil
-}
-
 // post hands an event to control; it returns false when ctx ended first.
 func (d *Daemon) post(ctx context.Context, e control.Event) bool {
 	select {
