--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 MODULES := core router operator lab
 TOOLS   := $(CURDIR)/.bin
 
-.PHONY: help build test format lint vet race histories soak demo tour capacity fuzz
+.PHONY: help build test format lint vet race histories soak demo flood tour capacity
 
 help: ## list the tasks
 	@awk -F ':.*## ' '/^[a-z-]+:.*## /{printf "%-10s %s\n", $$1, $$2}' Makefile
@@ -43,6 +43,9 @@
 demo: build ## run the main job on loopback
 	@scripts/demo
 
+flood: build ## flood both examples on loopback and print what each kind got
+	@scripts/flood
+
 tour: ## type the README's tour as it stands
 	@scripts/tour
 
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -33,6 +33,7 @@
 		FailureDomain string
 		Forward       string // QUIC address
 		Fingerprint   []byte
+		Leaving       bool // it hands its roles over and will depart by itself
 	}
 
 	// Service is the snapshot of one service.
@@ -82,7 +83,7 @@
 		m := s.Members[name]
 		t.Members = append(t.Members, Member{
 			Writer: m.Writer, Region: m.Joined.Region, FailureDomain: m.Joined.FailureDomain,
-			Forward: m.Joined.Forward, Fingerprint: m.Joined.Fingerprint,
+			Forward: m.Joined.Forward, Fingerprint: m.Joined.Fingerprint, Leaving: m.Leaving,
 		})
 	}
 	for i := range s.Configuration.Services {
--- a/router/daemon/daemon.go
+++ b/router/daemon/daemon.go
@@ -271,6 +271,7 @@
 	case control.SetTable:
 		d.table.Store(e.Table)
 		d.dispatch.SetTable(e.Table)
+		d.client.SetMembers(e.Table.Members)
 		d.entry.SetTable(e.Table)
 	case control.Authorize:
 		d.dispatch.Authorize(e)
--- a/router/peer/client.go
+++ b/router/peer/client.go
@@ -40,8 +40,9 @@
 		identity *Identity
 		traffic  *traffic
 
-		mu    sync.Mutex
-		conns map[endpoint]*quic.Conn // guarded by mu
+		mu      sync.Mutex
+		conns   map[endpoint]*quic.Conn // guarded by mu
+		members map[string]bool         // by fingerprint, whether it leaves; guarded by mu
 	}
 )
 
@@ -71,6 +72,26 @@
 	}
 }
 
+// SetMembers ends the connections to members that were lost, so that requests
+// on their way there fail at once and not when the connection falls silent. One
+// that left by itself has ended its work; its last bytes may be on their way.
+func (c *Client) SetMembers(members []route.Member) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before := c.members
+	c.members = make(map[string]bool, len(members))
+	for _, m := range members {
+		c.members[string(m.Fingerprint)] = m.Leaving
+	}
+	for e, conn := range c.conns {
+		leaving, was := before[e.fingerprint]
+		if _, is := c.members[e.fingerprint]; was && !is && !leaving {
+			_ = conn.CloseWithError(0, "member was lost")
+			delete(c.conns, e)
+		}
+	}
+}
+
 // Close ends all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
