--- a/core/control/history_fakes_test.go
+++ b/core/control/history_fakes_test.go
@@ -290,7 +290,7 @@
 			return
 		}
 	}
-	event := control.SlotsDrained{Service: serviceName, Server: d.server.name, Hold: d.held.Hold, Ranges: d.held.Ranges}
+	event := control.SlotsDrained{Service: serviceName, Server: d.server.name, Hold: d.held.Hold, Ranges: d.held.Ranges, Keys: d.held.Keys}
 	d.held.Hold = 0
 	n.fleet.after(0, n.inRun(func() { n.post(event) }))
 }
@@ -310,6 +310,7 @@
 		return
 	}
 	f, s, sent, role := n.fleet, d.server, n.fleet.now, d.granted.Epoch
+	f.history.sending(f, n.name, s.name, role)
 	f.probes++
 	number := f.probes
 	d.running[number] = key
