Test a refused connection at an address that no other test can take

Cause: the row "connection refused" of TestOutcomesPage failed once, since another test had taken the port of its closed listener and answered.

Change: the row's backend server has an address that refuses connections.

--- a/router/caller/outcomes_test.go
+++ b/router/caller/outcomes_test.go
@@ -19,7 +19,13 @@
 	"bronzewind.example/core/code"
 )
 
-const outcomesPage = "../../docs/OUTCOMES.md"
+const (
+	outcomesPage = "../../docs/OUTCOMES.md"
+
+	// closedAddress refuses connections; the port of a closed listener could be
+	// taken by a test that runs beside this one.
+	closedAddress = "127.0.0.1:1"
+)
 
 type (
 	// outcome is what a caller learns of one request.
@@ -82,7 +88,7 @@
 	}
 	return map[string]scenario{
 		"served":                           {options: fleetOptions{script: answerOK}},
-		"connection refused":               {options: fleetOptions{down: true, patient: short}},
+		"connection refused":               {options: fleetOptions{address: closedAddress, patient: short}},
 		"reset before the body":            {options: fleetOptions{script: func(c net.Conn, _ *http.Request) { reset(c) }}, method: "PUT", body: large},
 		"reset during the body":            {options: fleetOptions{script: func(c net.Conn, r *http.Request) { _, _ = io.CopyN(io.Discard, r.Body, 1<<10); reset(c) }}, method: "PUT", body: large},
 		"reset after the body":             {options: fleetOptions{script: func(c net.Conn, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body); reset(c) }}, method: "PUT", body: large},
