Let the load tool try each entry once before it gives up on a connection

Cause: tries of different requests shared one counter, so that all tries of one could fall on a killed entry; such requests were counted as not answered.

--- a/lab/load/run.go
+++ b/lab/load/run.go
@@ -157,8 +157,9 @@
 func (r *Runner) try(ctx context.Context, p *planned, o *Outcome) {
 	ctx, cancel := context.WithTimeout(ctx, p.kind.Patience.Std()+time.Second)
 	defer cancel()
-	for range r.entries {
-		entry := r.entries[r.next.Add(1)%uint64(len(r.entries))]
+	first := r.next.Add(1)
+	for i := range uint64(len(r.entries)) {
+		entry := r.entries[(first+i)%uint64(len(r.entries))]
 		resp, err := r.post(ctx, entry, p, o.ID)
 		var dial *net.OpError
 		if errors.As(err, &dial) && dial.Op == "dial" {
