--- a/core/control/handover.go
+++ b/core/control/handover.go
@@ -105,10 +105,10 @@
 		slots: subtract(h.slots, subtract(subtract(h.slots, before.slots), e.Ranges)),
 		keys:  common(h.keys, append(slices.Clone(before.keys), e.Keys...)),
 	}
+	h.drained = len(h.done.keys) == len(h.keys) && len(subtract(h.slots, h.done.slots)) == 0
 	if h.empty() || len(h.done.keys) == len(before.keys) && slices.Equal(h.done.slots, before.slots) {
 		return nil
 	}
-	h.drained = len(h.done.keys) == len(h.keys) && len(subtract(h.slots, h.done.slots)) == 0
 	h.sequence = g.sequence
 	return []Effect{c.sendGrant(v, v.Servers[e.Server], g, now)}
 }
