--- a/router/daemon/daemon.go
+++ b/router/daemon/daemon.go
@@ -17,11 +17,11 @@
 	"expvar"
 	"fmt"
 	"log/slog"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"bronzewind.example/core/backend"
 	"bronzewind.example/core/clock"
 	"bronzewind.example/core/config"
 	"bronzewind.example/core/control"
@@ -56,7 +56,7 @@
 		platform *platform.Client
 		identity *peer.Identity
 		tracing  *tracing
-		grants   *http.Client // to backend servers, for grants alone
+		grants   *backend.Client
 
 		core     *control.Core // used by the control goroutine alone
 		events   chan control.Event
@@ -121,7 +121,7 @@
 		encoded:  make(chan chan<- encodedState),
 		left:     make(chan struct{}),
 		client:   peer.NewClient(identity),
-		grants:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		grants:   backend.NewClient(),
 	}
 	d.control = peer.NewControl(key, d.received, d.log)
 	d.dispatch = dispatch.NewSet(self,
@@ -130,6 +130,7 @@
 		dispatch.WithQuarantine(func(q record.Quarantined) { go func() { d.events <- control.CrashFound{Quarantine: q} }() }),
 		dispatch.WithDrained(func(e control.SlotsDrained) { d.events <- e }))
 	publish("dispatch", d.dispatch.Metrics())
+	publish("control", d.control.Counters())
 	publish("forward", d.client.Metrics())
 	d.entry = caller.NewServer(self, d.dispatch, d.client, d.log, caller.WithTracer(tracing.tracer))
 	return d, nil
@@ -252,7 +253,7 @@
 		d.control.Send(m.to, m.messages)
 	}
 	d.ready.Store(d.core.Ready() && !d.leaving.Load())
-	d.status.Store(newStatus(d.core))
+	d.setStatus()
 }
 
 func (d *Daemon) carryOut(ctx context.Context, e control.Effect, grants *sync.WaitGroup) {
@@ -270,6 +271,7 @@
 	case control.SetTable:
 		d.table.Store(e.Table)
 		d.dispatch.SetTable(e.Table)
+		d.client.SetMembers(e.Table.Members)
 		d.entry.SetTable(e.Table)
 	case control.Authorize:
 		d.dispatch.Authorize(e)
