Carry the trace over the hop between instances, with a span for each hop

Cause: the instance that dispatches did not read the traceparent of a forwarded request, so its spans began a trace of their own (seen in the spans of the README's tour); the dispatch span began after the wait in the queue.

Change: the forwarded header's trace goes on; dispatch covers the queue, and backend the exchange with the backend server.

--- a/router/caller/fleet_test.go
+++ b/router/caller/fleet_test.go
@@ -15,6 +15,9 @@
 	"testing"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
 	"bronzewind.example/core/clock"
 	"bronzewind.example/core/config"
 	"bronzewind.example/core/control"
@@ -62,6 +65,7 @@
 		address string // of the backend server; "" is the fake one's
 		door    bool   // the test serves the entry itself, at the fleet's address
 		clock   clock.Clock
+		tracer  trace.Tracer // of all hops; nil traces nothing
 		patient time.Duration
 		body    time.Duration // body idle timeout
 		script  func(c net.Conn, r *http.Request)
@@ -178,7 +182,10 @@
 		o.address = f.backend.listener.Addr().String()
 	}
 	table := newTable(t, f.document, o.address, relay, identity.Fingerprint(), self)
-	f.set = dispatch.NewSet(self)
+	if o.tracer == nil {
+		o.tracer = noop.NewTracerProvider().Tracer("")
+	}
+	f.set = dispatch.NewSet(self, dispatch.WithTracer(o.tracer))
 	t.Cleanup(f.set.Close)
 	f.set.SetTable(table.WithSelf(self))
 	f.authorize(table)
@@ -190,7 +197,7 @@
 	client := peer.NewClient(identity)
 	f.client = client
 	t.Cleanup(client.Close)
-	var options []caller.Option
+	options := []caller.Option{caller.WithTracer(o.tracer)}
 	if o.clock != nil {
 		options = append(options, caller.WithClock(o.clock))
 	}
--- a/router/dispatch/send.go
+++ b/router/dispatch/send.go
@@ -26,7 +26,7 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.request.Deadline)
-	ctx, span := d.set.tracer.Start(ctx, "dispatch", trace.WithAttributes(
+	ctx, span := d.set.tracer.Start(ctx, "backend", trace.WithAttributes(
 		attribute.String("server", j.request.Server), attribute.Int("slot", int(j.slot))))
 	var (
 		once sync.Once
--- a/router/dispatch/set.go
+++ b/router/dispatch/set.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
@@ -61,7 +63,7 @@
 // WithClock sets the clock; the default is the system's.
 func WithClock(c clock.Clock) Option { return func(s *Set) { s.clock = c } }
 
-// WithTracer sets the tracer of the dispatch spans; the default traces nothing.
+// WithTracer sets the tracer of the spans of dispatchers and backend servers; the default traces nothing.
 func WithTracer(t trace.Tracer) Option { return func(s *Set) { s.tracer = t } }
 
 // WithTransport sets the transport to backend servers, for tests.
@@ -181,9 +183,13 @@
 	if !ok {
 		return nil, code.NewError(code.StaleRoute, "this instance does not dispatch to "+r.Server)
 	}
+	ctx, span := s.tracer.Start(ctx, "dispatch", trace.WithAttributes(
+		attribute.String("service", r.Service), attribute.String("kind", r.Kind.Name)))
+	defer span.End()
 	answer, err := d.do(ctx, r)
 	if err != nil {
 		s.metrics.failed(r, err)
+		span.SetStatus(codes.Error, err.Error())
 	}
 	return answer, err
 }
--- a/router/peer/server.go
+++ b/router/peer/server.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/quic-go/quic-go"
+	"go.opentelemetry.io/otel/propagation"
 
 	"bronzewind.example/core/code"
 	"bronzewind.example/core/config"
@@ -223,6 +224,7 @@
 	case len(head.Inline) > 0:
 		r.Body, r.Length = bytes.NewReader(head.Inline), int64(len(head.Inline))
 	}
+	ctx = propagation.TraceContext{}.Extract(ctx, propagation.HeaderCarrier(head.Header))
 	return s.doer.Do(ctx, r)
 }
 
