--- /dev/null
+++ b/core/control/planner.go
@@ -0,0 +1,376 @@
+package control
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
+	"bronzewind.example/core/config"
+	"bronzewind.example/core/keyspace"
+	"bronzewind.example/core/record"
+	"bronzewind.example/core/state"
+)
+
+const (
+	defaultBound  = 0.2 // share over or under the mean utilisation
+	settleDivisor = 4   // of the bound; moves go on to that share
+	movesDivisor  = 16  // of the slots; most moves in a balanceInterval
+
+	// maxRanges bounds the size of one record.
+	maxRanges = 4096
+)
+
+type (
+	// unit is a slot or hot key that is owned and moves as one.
+	unit struct {
+		slot   keyspace.Slot
+		key    keyspace.Hash
+		hot    bool // the unit is a key
+		moving bool
+		weight float64
+	}
+
+	// bin is a backend server in a plan.
+	bin struct {
+		name     string
+		domain   string
+		capacity float64
+		load     float64 // of units that it owns, or is to own next
+		accepts  bool
+		stuck    bool   // nothing on it can move to mend the imbalance
+		units    []unit // that it owns or is to own next
+	}
+
+	// planner works out one change of ownership.
+	planner struct {
+		bins    []*bin // in order of name
+		byName  map[string]*bin
+		domains map[string]*domainLoad
+		free    []unit // in order: slots by number, then keys by hash
+		change  change
+	}
+
+	domainLoad struct{ load, capacity float64 }
+
+	// change is the next owners of slots and hot keys.
+	change struct {
+		ranges []record.SlotRange
+		keys   []record.KeyRow
+		slots  map[keyspace.Slot]string
+	}
+)
+
+func newPlanner(v *state.Service, conf *config.Service, w weights) *planner {
+	p := &planner{byName: map[string]*bin{}, domains: map[string]*domainLoad{}, change: change{slots: map[keyspace.Slot]string{}}}
+	for _, name := range v.ServerNames() {
+		s := v.Servers[name]
+		if !s.Up {
+			continue
+		}
+		b := &bin{name: name, domain: s.Row.FailureDomain, capacity: capacity(s, conf), accepts: !s.Emptying()}
+		p.bins = append(p.bins, b)
+		p.byName[name] = b
+		if p.domains[b.domain] == nil {
+			p.domains[b.domain] = &domainLoad{}
+		}
+		p.domains[b.domain].capacity += b.capacity
+	}
+	for i, row := range v.Slots {
+		p.take(unit{slot: keyspace.Slot(i), weight: w.slots[i]}, row)
+	}
+	for _, h := range v.KeysInOrder() {
+		p.take(unit{key: h, slot: h.Slot(len(v.Slots)), hot: true, weight: w.keys[h]}, v.Keys[h])
+	}
+	return p
+}
+
+func (p *planner) take(u unit, row state.SlotRow) {
+	u.moving = row.Next != ""
+	b, ok := p.byName[heir(row)]
+	if !ok {
+		p.free = append(p.free, u)
+		return
+	}
+	p.put(u, b)
+}
+
+func (p *planner) put(u unit, b *bin) {
+	b.units = append(b.units, u)
+	b.load += u.weight
+	p.domains[b.domain].load += u.weight
+}
+
+// give makes b the next owner of u.
+func (p *planner) give(u unit, b *bin) {
+	p.put(u, b)
+	if u.hot {
+		p.change.keys = append(p.change.keys, record.KeyRow{Hash: u.key, Server: b.name})
+		return
+	}
+	p.change.slots[u.slot] = b.name
+}
+
+func (b *bin) utilisation() float64 { return b.load / b.capacity }
+
+func (d *domainLoad) utilisation() float64 { return d.load / d.capacity }
+
+// place gives units without an owner, and those of servers that are to own
+// nothing, to servers that accept them.
+func (p *planner) place() {
+	accepting := p.accepting()
+	if len(accepting) == 0 {
+		return
+	}
+	units := p.free
+	p.free = nil
+	for _, b := range p.bins {
+		if !b.accepts {
+			units = append(units, b.units...)
+			p.domains[b.domain].load -= b.load
+			b.units, b.load = nil, 0
+		}
+	}
+	p.spread(units, accepting)
+}
+
+func (p *planner) accepting() []*bin {
+	var out []*bin
+	for _, b := range p.bins {
+		if b.accepts {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+// spread gives units out so that utilisations get equal. Runs of slots stay
+// together, so that the record of it is small; keys go one by one to the least
+// utilised server.
+func (p *planner) spread(units []unit, to []*bin) {
+	total, room := 0.0, 0.0
+	for _, u := range units {
+		if !u.hot {
+			total += u.weight
+		}
+	}
+	level := fillLevel(to, total)
+	share := make([]float64, len(to))
+	for i, b := range to {
+		share[i] = max(0, level*b.capacity-b.load)
+		room += share[i]
+	}
+	at, given := 0, 0.0
+	for _, u := range units {
+		if u.hot {
+			p.give(u, p.least(to))
+			continue
+		}
+		for at < len(to)-1 && given+u.weight/2 > share[at] {
+			given -= share[at]
+			at++
+		}
+		given += u.weight
+		p.give(u, to[at])
+	}
+}
+
+// fillLevel returns the utilisation up to which bins are filled by weight more.
+func fillLevel(bins []*bin, weight float64) float64 {
+	order := slices.Clone(bins)
+	slices.SortFunc(order, func(a, b *bin) int { return cmp.Compare(a.utilisation(), b.utilisation()) })
+	load, capacity := weight, 0.0
+	for i, b := range order {
+		load += b.load
+		capacity += b.capacity
+		if i+1 == len(order) || load/capacity <= order[i+1].utilisation() {
+			break
+		}
+	}
+	return load / capacity
+}
+
+// least returns the least utilised bin; of those within a hundredth, the one in
+// the least utilised failure domain.
+func (p *planner) least(bins []*bin) *bin {
+	low := slices.MinFunc(bins, func(a, b *bin) int { return cmp.Compare(a.utilisation(), b.utilisation()) })
+	limit := low.utilisation() * 1.01
+	for _, b := range bins {
+		if b.utilisation() <= limit && p.domains[b.domain].utilisation() < p.domains[low.domain].utilisation() {
+			low = b
+		}
+	}
+	return low
+}
+
+func mean(bins []*bin) float64 {
+	load, capacity := 0.0, 0.0
+	for _, b := range bins {
+		load += b.load
+		capacity += b.capacity
+	}
+	return load / capacity
+}
+
+// balance moves units from the most to the least utilised server while the
+// imbalance is over its bound, or has been and is not settled. It returns
+// whether more is to be done in the next interval.
+func (p *planner) balance(conf *config.Service, slots int, balancing bool) bool {
+	even, full := separate(p.accepting())
+	if len(even) == 0 {
+		return false
+	}
+	bound, settle, moves := limits(conf.Balance, slots)
+	if !balancing && !imbalanced(even, full, bound) {
+		return false
+	}
+	for ; moves > 0 && imbalanced(even, full, settle); moves-- {
+		if !p.strip(even, full, settle) && !p.moveOne(even) {
+			return false
+		}
+	}
+	return imbalanced(even, full, settle)
+}
+
+// separate sets the full servers apart: those whose heaviest unit alone is over
+// the mean of all others. They can't be made even, and own little besides.
+func separate(bins []*bin) (even, full []*bin) {
+	even = bins
+	for {
+		m := mean(even)
+		i := slices.IndexFunc(even, func(b *bin) bool { return len(even) > 1 && b.heaviest() > m*b.capacity })
+		if i < 0 {
+			return even, full
+		}
+		full = append(full, even[i])
+		even = slices.Delete(slices.Clone(even), i, i+1)
+	}
+}
+
+func (b *bin) heaviest() float64 {
+	w := 0.0
+	for _, u := range b.units {
+		w = max(w, u.weight)
+	}
+	return w
+}
+
+// strip moves one unit off a full server that owns more besides its heaviest
+// unit than the share allows. It returns false when there is none.
+func (p *planner) strip(even, full []*bin, share float64) bool {
+	m := mean(even)
+	for _, b := range full {
+		most, next := b.heaviest(), -1
+		if b.load-most <= share*m*b.capacity {
+			continue
+		}
+		for i, u := range b.units {
+			if !u.moving && u.weight < most && (next < 0 || u.weight > b.units[next].weight) {
+				next = i
+			}
+		}
+		if next >= 0 {
+			p.move(b, next, p.least(even))
+			return true
+		}
+	}
+	return false
+}
+
+func limits(b config.Balance, slots int) (bound, settle float64, moves int) {
+	bound, settle, moves = b.Bound, b.Settle, b.Moves
+	if bound == 0 {
+		bound = defaultBound
+	}
+	if settle == 0 {
+		settle = bound / settleDivisor
+	}
+	if moves == 0 {
+		moves = max(1, slots/movesDivisor)
+	}
+	return bound, settle, moves
+}
+
+// imbalanced reports whether one of the even servers is further than bound from
+// their mean utilisation, or a full one owns more than that besides its
+// heaviest unit.
+func imbalanced(even, full []*bin, bound float64) bool {
+	m := mean(even)
+	for _, b := range even {
+		if u := b.utilisation(); u > m*(1+bound) || u < m*(1-bound) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(full, func(b *bin) bool { return b.load-b.heaviest() > bound*m*b.capacity })
+}
+
+// moveOne makes the one move that mends most. It returns false when no move
+// mends anything.
+func (p *planner) moveOne(bins []*bin) bool {
+	m := mean(bins)
+	for {
+		var high *bin
+		for _, b := range bins {
+			if !b.stuck && (high == nil || b.utilisation() > high.utilisation()) {
+				high = b
+			}
+		}
+		if high == nil || high.utilisation() <= m {
+			return false
+		}
+		low := p.least(bins)
+		if i := high.pick(low); i >= 0 {
+			p.move(high, i, low)
+			return true
+		}
+		high.stuck = true
+	}
+}
+
+// move gives the unit of from with index i to another server.
+func (p *planner) move(from *bin, i int, to *bin) {
+	u := from.units[i]
+	from.units = slices.Delete(from.units, i, i+1)
+	from.load -= u.weight
+	p.domains[from.domain].load -= u.weight
+	p.give(u, to)
+}
+
+// pick returns the index of the unit to move from b to low: the one that
+// lowers the sum of load squared by capacity most, which is the one whose
+// weight is nearest to what makes both equal. It returns -1 when no unit
+// lowers it.
+func (b *bin) pick(low *bin) int {
+	even := (b.utilisation() - low.utilisation()) / (1/b.capacity + 1/low.capacity)
+	best := -1
+	for i, u := range b.units {
+		if u.moving || u.weight <= 0 || u.weight >= 2*even {
+			continue
+		}
+		if best < 0 || math.Abs(u.weight-even) < math.Abs(b.units[best].weight-even) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (c change) empty() bool { return len(c.ranges)+len(c.keys) == 0 }
+
+// result returns the change with its slots as ranges in order.
+func (p *planner) result() change {
+	c := p.change
+	for _, slot := range slices.Sorted(maps.Keys(c.slots)) {
+		c.ranges = appendSlot(c.ranges, slot, c.slots[slot])
+	}
+	c.ranges = c.ranges[:min(len(c.ranges), maxRanges)]
+	return c
+}
+
+// appendSlot adds slot to ranges that are in order and end below it.
+func appendSlot(rs []record.SlotRange, slot keyspace.Slot, server string) []record.SlotRange {
+	if n := len(rs); n > 0 && rs[n-1].Server == server && rs[n-1].Last+1 == slot {
+		rs[n-1].Last = slot
+		return rs
+	}
+	return append(rs, record.SlotRange{First: slot, Last: slot, Server: server})
+}
--- a/lab/options.go
+++ b/lab/options.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/integrii/flaggy"
+	"bronzewind.example/core/commandline"
 )
 
 // options are the command line, parsed.
@@ -39,15 +39,12 @@
 // parseOptions reads the command line.
 func parseOptions(args []string) (*options, error) {
 	o := &options{listen: "127.0.0.1:8000", name: "backend-1", platform: "http://127.0.0.1:8000", slots: 6, service: 5}
-	p := flaggy.NewParser("bronzelab")
-	p.Description = "stand-ins and load for bronzewind"
-	p.AdditionalHelpAppend = help
-	p.Version = "0.1.0"
+	p := commandline.NewParser("bronzelab", "stand-ins and load for bronzewind", help)
 
-	plat := command(p, "platform", "run the log service and the list of backend servers")
+	plat := p.Command("platform", "run the log service and the list of backend servers")
 	plat.String(&o.listen, "l", "listen", "HTTP address")
 
-	back := command(p, "backend", "run one backend server")
+	back := p.Command("backend", "run one backend server")
 	back.String(&o.listen, "l", "listen", "HTTP address")
 	back.String(&o.name, "n", "name", "name of the backend server")
 	back.Int(&o.slots, "", "slots", "requests that run at once")
@@ -57,7 +54,7 @@
 	back.Bool(&o.late, "", "refuse-late", "refuse work whose deadline has passed")
 	back.String(&o.journal, "", "journal", "URL of the platform stand-in that keeps each start")
 
-	load := command(p, "load", "put load on running instances and check what became of it")
+	load := p.Command("load", "put load on running instances and check what became of it")
 	load.String(&o.config, "", "config", "configuration that the instances serve")
 	load.String(&o.profile, "", "profile", "what load to put on")
 	load.String(&o.entries, "", "entries", "addresses of the entries, with commas between")
@@ -65,11 +62,11 @@
 	load.Duration(&o.gap, "", "longest-gap", "fail when a slot has a longer gap in service, for example 1s; 0s for no limit")
 	load.String(&o.jsonFile, "", "json", "file for the summary as JSON")
 
-	compare := command(p, "compare", "show two results side by side")
+	compare := p.Command("compare", "show two results side by side")
 	compare.AddPositionalValue(&o.files[0], "a", 1, true, "summary as JSON")
 	compare.AddPositionalValue(&o.files[1], "b", 2, true, "summary as JSON")
 
-	capacity := command(p, "capacity", "measure the slopes of the capacity page and write both")
+	capacity := p.Command("capacity", "measure the slopes of the capacity page and write both")
 	capacity.AddPositionalValue(&o.files[0], "page", 1, true, "page in Markdown")
 	capacity.AddPositionalValue(&o.files[1], "slopes", 2, true, "file of slopes in YAML")
 	capacity.String(&o.name, "m", "machine", "the machine, in words")
@@ -77,17 +74,6 @@
 	if err := p.ParseArgs(args); err != nil {
 		return nil, err
 	}
-	for _, s := range p.Subcommands {
-		if s.Used {
-			o.command = s.Name
-		}
-	}
+	o.command = p.Used()
 	return o, nil
 }
-
-func command(p *flaggy.Parser, name, description string) *flaggy.Subcommand {
-	s := flaggy.NewSubcommand(name)
-	s.Description = description
-	p.AttachSubcommand(s, 1)
-	return s
-}
--- a/operator/options.go
+++ b/operator/options.go
@@ -1,6 +1,6 @@
 package main
 
-import "github.com/integrii/flaggy"
+import "bronzewind.example/core/commandline"
 
 // options are the command line, parsed.
 type options struct {
@@ -32,49 +32,46 @@
 // process with exitUsage.
 func parseOptions(args []string) (*options, error) {
 	o := &options{url: "http://127.0.0.1:8000", author: "operator", version: 1}
-	p := flaggy.NewParser("bronzectl")
-	p.Description = "operates a fleet of bronzewind"
-	p.AdditionalHelpAppend = help
-	p.Version = "0.1.0"
+	p := commandline.NewParser("bronzectl", "operates a fleet of bronzewind", help)
 
-	ask := command(p, "questionnaire", "ask for the answers, with those of an earlier file as defaults")
+	ask := p.Command("questionnaire", "ask for the answers, with those of an earlier file as defaults")
 	ask.String(&o.from, "", "from", "file of earlier answers")
 	ask.String(&o.to, "", "to", "file to write; standard output without it")
 
-	generate := command(p, "generate", "turn answers into a configuration")
+	generate := p.Command("generate", "turn answers into a configuration")
 	generate.AddPositionalValue(&o.file, "answers", 1, true, "answers in YAML")
 	generate.String(&o.to, "", "to", "file to write; standard output without it")
 	generate.Int(&o.version, "", "config-version", "version of the configuration, one above the one in force")
 	generate.Bool(&o.explain, "", "explain", "say on standard error why each value is as it is")
 
-	check := command(p, "check", "check a file of answers or a configuration")
+	check := p.Command("check", "check a file of answers or a configuration")
 	check.AddPositionalValue(&o.file, "file", 1, true, "answers or configuration in YAML")
 
-	diff := command(p, "diff", "say what changes between two configurations, and for whom")
+	diff := p.Command("diff", "say what changes between two configurations, and for whom")
 	diff.AddPositionalValue(&o.file, "old", 1, true, "configuration in YAML")
 	diff.AddPositionalValue(&o.second, "new", 2, true, "configuration in YAML")
 	diff.Bool(&o.json, "", "json", "write JSON")
 
-	publish := command(p, "publish", "put a configuration in force")
+	publish := p.Command("publish", "put a configuration in force")
 	publish.AddPositionalValue(&o.file, "file", 1, true, "configuration in YAML")
 	publish.String(&o.author, "a", "author", "who publishes")
 	publish.String(&o.url, "p", "platform", "URL of the platform")
 
-	status := command(p, "status", "show the version in force on each instance")
+	status := p.Command("status", "show the version in force on each instance")
 	status.String(&o.url, "p", "platform", "URL of the platform")
 	status.Bool(&o.json, "", "json", "write JSON")
 
-	explain := command(p, "explain", "show where a key is served, and why")
+	explain := p.Command("explain", "show where a key is served, and why")
 	explain.AddPositionalValue(&o.file, "key", 1, true, "the key")
 	explain.String(&o.service, "s", "service", "service; all without it")
 	explain.String(&o.url, "p", "platform", "URL of the platform")
 	explain.Bool(&o.json, "", "json", "write JSON")
 
-	quarantine := command(p, "quarantine", "list the requests that crashed backend servers and are refused")
+	quarantine := p.Command("quarantine", "list the requests that crashed backend servers and are refused")
 	quarantine.String(&o.url, "p", "platform", "URL of the platform")
 	quarantine.Bool(&o.json, "", "json", "write JSON")
 
-	release := command(p, "release", "let a request in quarantine run again")
+	release := p.Command("release", "let a request in quarantine run again")
 	release.AddPositionalValue(&o.file, "service", 1, true, "the service")
 	release.AddPositionalValue(&o.second, "fingerprint", 2, true, "as quarantine lists it")
 	release.String(&o.author, "a", "author", "who releases")
@@ -83,17 +80,6 @@
 	if err := p.ParseArgs(args); err != nil {
 		return nil, err
 	}
-	for _, s := range p.Subcommands {
-		if s.Used {
-			o.command = s.Name
-		}
-	}
+	o.command = p.Used()
 	return o, nil
 }
-
-func command(p *flaggy.Parser, name, description string) *flaggy.Subcommand {
-	s := flaggy.NewSubcommand(name)
-	s.Description = description
-	p.AttachSubcommand(s, 1)
-	return s
-}
--- a/router/main.go
+++ b/router/main.go
@@ -9,13 +9,13 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/integrii/flaggy"
-
+	"bronzewind.example/core/commandline"
 	"bronzewind.example/router/daemon"
 	"bronzewind.example/router/settings"
 )
 
-const version = "0.1.0"
+const help = `example:
+  bronzewind --settings examples/tour/entry-1.yaml --listen 127.0.0.1:8101`
 
 func main() {
 	file, overrides := options()
@@ -40,9 +40,7 @@
 func options() (string, []settings.Option) {
 	file := "bronzewind.yaml"
 	flags := map[string]*string{}
-	p := flaggy.NewParser("bronzewind")
-	p.Description = "routes requests to the backend servers that own their keys"
-	p.Version = version
+	p := commandline.NewParser("bronzewind", "routes requests to the backend servers that own their keys", help)
 	p.String(&file, "s", "settings", "settings file in YAML")
 	for _, name := range settings.Overridable() {
 		flags[name] = new(string)
