Go on after an outage in which records lapsed that no instance had read

Cause: every instance waited for a checkpoint, and none might write one, since its state had a gap after it and another might have read further.

Change: members that can't read on tell each other how far they have read. The one that has read furthest writes its state as a checkpoint from the oldest record on, once every other member has said that it can't read on either and has not read further.

Ruled out: a majority in place of every member, since a silent one may have read and acted on what the others would then undo.

make faults puts load on real processes while one fault after the other is on.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 MODULES := core router operator lab
 TOOLS   := $(CURDIR)/.bin
 
-.PHONY: help build test format lint vet race histories soak demo flood tour capacity
+.PHONY: help build test format lint vet race histories soak demo flood faults tour capacity
 
 help: ## list the tasks
 	@awk -F ':.*## ' '/^[a-z-]+:.*## /{printf "%-10s %s\n", $$1, $$2}' Makefile
@@ -46,6 +46,9 @@
 flood: build ## flood both examples on loopback and print what each kind got
 	@scripts/flood
 
+faults: build ## mixed load on both examples while one fault after the other is on
+	@scripts/faults
+
 tour: ## type the README's tour as it stands
 	@scripts/tour
 
--- a/core/control/control.go
+++ b/core/control/control.go
@@ -153,6 +153,7 @@
 		grants   map[serverKey]*grantState
 		stalls   map[string]stall // by service
 		own      ownServers
+		rescue   rescue
 		loads    map[serverKey]measuredLoad
 		plans    map[string]*planState // by service, while the instance coordinates it
 		vacant   map[string]time.Time  // by service, since when it has no coordinator
@@ -318,6 +319,7 @@
 	}
 	out = append(out, c.decideLease(now)...)
 	out = append(out, c.decideLosses(now)...)
+	out = append(out, c.decideRescue(now)...)
 	if c.log.Whole() {
 		out = append(out, c.decideWitnesses(now)...)
 		out = append(out, c.decideLeave(now)...)
--- a/core/control/encode.go
+++ b/core/control/encode.go
@@ -12,6 +12,7 @@
 	kindHeartbeatAnswer
 	kindLostVote
 	kindLoadReported
+	kindLogPosition
 )
 
 // encodedMessage is one message in a datagram.
@@ -44,6 +45,8 @@
 		return kindLostVote
 	case LoadReported:
 		return kindLoadReported
+	case LogPosition:
+		return kindLogPosition
 	default:
 		return 0
 	}
@@ -79,6 +82,8 @@
 		return decodeBody[LostVote](e.Body)
 	case kindLoadReported:
 		return decodeBody[LoadReported](e.Body)
+	case kindLogPosition:
+		return decodeBody[LogPosition](e.Body)
 	default:
 		return nil, nil
 	}
--- a/core/control/history_test.go
+++ b/core/control/history_test.go
@@ -345,6 +345,40 @@
 	}
 }
 
+// TestFleetWaitsForTheMemberThatReadFurthest lapses a record that one instance
+// alone has read, while nobody reaches that instance: the others may not go on
+// without the record, and do go on with it once the instance is back.
+func TestFleetWaitsForTheMemberThatReadFurthest(t *testing.T) {
+	f := newFleet(1, correct)
+	f.runUntil(settled)
+	reader, others := f.instances[0].name, []link{}
+	var alone []link
+	for _, n := range f.instances[1:] {
+		others = append(others, link{"log", n.name})
+		alone = append(alone, link{reader, n.name}, link{n.name, reader})
+	}
+	healOthers := f.cutLinks(others...)
+	f.log.add(f.newMove())
+	f.runUntil(settled + time.Second)
+	healReader := f.cutLinks(append(alone, link{"log", reader}, link{reader, "log"})...)
+	lapsed := uint64(len(f.log.entries))
+	f.log.lapse(lapsed)
+	healOthers()
+	f.runUntil(settled + 20*time.Second)
+	for _, n := range f.instances[1:] {
+		if next := n.core.State().Next; next >= lapsed {
+			t.Errorf("%s went on at offset %d without what %s had read up to %d", n.name, next, reader, lapsed)
+		}
+	}
+	healReader()
+	f.runUntil(settled + 40*time.Second)
+	for _, n := range f.instances {
+		if diff := cmp.Diff(uint64(len(f.log.entries)), n.core.State().Next); diff != "" {
+			t.Errorf("%s does not follow the log (-want offset +got):\n%s", n.name, diff)
+		}
+	}
+}
+
 // TestReportedDownServerIsGrantedNothing thaws a backend server while the
 // record that reports it down is not in the log yet.
 func TestReportedDownServerIsGrantedNothing(t *testing.T) {
--- a/core/control/member.go
+++ b/core/control/member.go
@@ -61,6 +61,8 @@
 		c.voteReceived(e.From, m)
 	case LoadReported:
 		c.takeLoad(m, now)
+	case LogPosition:
+		c.positionReceived(e.From, m, now)
 	}
 	return nil
 }
