--- a/core/platform/http.go
+++ b/core/platform/http.go
@@ -37,21 +37,6 @@
 	Entries [][]byte `json:"entries"`
 }
 
-// UnreachableError means that the platform did not answer; a change may have
-// taken effect all the same.
-type UnreachableError struct {
-	URL string
-	Err error
-}
-
-// Error names the platform and the cause.
-func (e *UnreachableError) Error() string {
-	return fmt.Sprintf("the platform at %s does not answer: %v", e.URL, e.Err)
-}
-
-// Unwrap returns the cause.
-func (e *UnreachableError) Unwrap() error { return e.Err }
-
 // NewClient returns a client of the platform at base, for example
 // "http://127.0.0.1:8000".
 func NewClient(base string) *Client {
@@ -91,7 +76,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return &UnreachableError{URL: c.base, Err: err}
+		return Unreachable.Wrap(err, "the platform at %s does not answer", c.base)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode == http.StatusGone {
@@ -102,7 +87,7 @@
 		return &TruncatedError{Oldest: oldest}
 	}
 	if resp.StatusCode != http.StatusOK {
-		return &UnreachableError{URL: c.base, Err: fmt.Errorf("%s %s answered %s", method, path, resp.Status)}
+		return Unreachable.New("the platform at %s answered %s %s with %s", c.base, method, path, resp.Status)
 	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(into); err != nil {
 		return fmt.Errorf("platform: %s %s: %w", method, path, err)
--- a/core/platform/platform.go
+++ b/core/platform/platform.go
@@ -7,6 +7,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"github.com/joomcode/errorx"
 )
 
 type (
@@ -45,6 +47,14 @@
 	}
 )
 
+var (
+	failures = errorx.NewNamespace("platform")
+
+	// Unreachable is the type of errors of a platform that did not answer; a
+	// change may have taken effect all the same.
+	Unreachable = failures.NewType("unreachable", errorx.Temporary())
+)
+
 // TruncatedError means that the log no longer keeps the offset asked for.
 type TruncatedError struct {
 	Oldest uint64 // offset of the oldest record still kept
--- a/operator/commands.go
+++ b/operator/commands.go
@@ -53,7 +53,7 @@
 	case "release":
 		return runRelease(ctx, o, out)
 	default:
-		return errUsage
+		return usage.New("name a command; bronzectl --help shows them")
 	}
 }
 
@@ -108,7 +108,7 @@
 		return err
 	}
 	if o.version < 1 {
-		return fmt.Errorf("%w: --config-version is %d; versions start at 1", errUsage, o.version)
+		return usage.New("--config-version is %d; versions start at 1", o.version)
 	}
 	c, reasons, err := generate.Generate(a, uint64(o.version))
 	if err != nil {
@@ -211,7 +211,7 @@
 	}
 	for _, i := range instances {
 		if !i.Ready || i.Configuration != s.Version() {
-			return errDegraded
+			return degraded.New("not every instance is ready with version %d", s.Version())
 		}
 	}
 	return nil
--- a/operator/exit.go
+++ b/operator/exit.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io/fs"
 
+	"github.com/joomcode/errorx"
+
 	"bronzewind.example/core/document"
 	"bronzewind.example/core/platform"
 	"bronzewind.example/operator/publish"
@@ -23,10 +25,12 @@
 )
 
 var (
-	// errUsage means that the command line is not complete.
-	errUsage = errors.New("name a command; bronzectl --help shows them")
-	// errDegraded means that an instance is not ready or behind.
-	errDegraded = errors.New("not every instance is ready with the newest version")
+	failures = errorx.NewNamespace("bronzectl")
+
+	// usage is the type of errors of the command line.
+	usage = failures.NewType("usage")
+	// degraded is the type of errors of a fleet that is not as it should be.
+	degraded = failures.NewType("degraded")
 )
 
 // exitCode returns the exit code for err.
@@ -34,11 +38,10 @@
 	var problems *document.Problems
 	var race *publish.LostRaceError
 	var fate *publish.UnknownFateError
-	var unreachable *platform.UnreachableError
 	switch {
 	case err == nil:
 		return exitOK
-	case errors.Is(err, errUsage):
+	case isOfType(err, usage):
 		return exitUsage
 	case errors.As(err, &problems):
 		return exitInvalid
@@ -46,13 +49,20 @@
 		return exitLostRace
 	case errors.As(err, &fate):
 		return exitUnknownFate
-	case errors.As(err, &unreachable):
+	case isOfType(err, platform.Unreachable):
 		return exitUnreachable
 	case errors.Is(err, fs.ErrNotExist):
 		return exitNoFile
-	case errors.Is(err, errDegraded):
+	case isOfType(err, degraded):
 		return exitDegraded
 	default:
 		return exitFailed
 	}
 }
+
+// isOfType reports whether err is of type t, or wraps one that is; errorx itself
+// does not look through errors that other packages wrapped.
+func isOfType(err error, t *errorx.Type) bool {
+	var e *errorx.Error
+	return errors.As(err, &e) && e.IsOfType(t)
+}
--- a/operator/main.go
+++ b/operator/main.go
@@ -9,7 +9,7 @@
 func main() {
 	o, err := parseOptions(os.Args[1:])
 	if err != nil {
-		err = fmt.Errorf("%w: %w", errUsage, err)
+		err = usage.Wrap(err, "command line")
 	} else {
 		err = run(o, os.Stdin, os.Stdout, os.Stderr)
 	}
