--- a/core/commandline/commandline.go
+++ b/core/commandline/commandline.go
@@ -20,10 +20,12 @@
 	return &Parser{Parser: p}
 }
 
-// Command adds a command.
-func (p *Parser) Command(name, description string) *flaggy.Subcommand {
+// Command adds a command, whose help ends with an example of what follows the
+// program's name.
+func (p *Parser) Command(name, description, example string) *flaggy.Subcommand {
 	s := flaggy.NewSubcommand(name)
 	s.Description = description
+	s.AdditionalHelpAppend = "example:\n  " + p.Name + " " + name + " " + example
 	p.AttachSubcommand(s, 1)
 	return s
 }
--- a/core/platform/platform.go
+++ b/core/platform/platform.go
@@ -48,7 +48,7 @@
 )
 
 var (
-	failures = errorx.NewNamespace("platform")
+	failures = errorx.NewNamespace("platform").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
 
 	// Unreachable is the type of errors of a platform that did not answer; a
 	// change may have taken effect all the same.
--- a/lab/capacity/measure.go
+++ b/lab/capacity/measure.go
@@ -16,10 +16,12 @@
 )
 
 const (
-	repeats    = 5                     // of each timing; the fastest counts
-	leastTime  = 20 * time.Millisecond // of one timing
-	mebibyte   = 1 << 20
-	nanosecond = float64(time.Nanosecond)
+	repeats   = 5                     // of each timing; the fastest counts
+	leastTime = 20 * time.Millisecond // of one timing
+	mebibyte  = 1 << 20
+
+	roundOfMoves = 11 * time.Second // past the time between two rounds
+	nanosecond   = float64(time.Nanosecond)
 )
 
 // measurement is one slope that is to be measured at sizes.
@@ -43,6 +45,7 @@
 		{"record", "bytes of a record that reports a backend server", "backend servers", servers, recordBytes},
 		{"lookup", "nanoseconds of a lookup from key to dispatcher", "slots", slots, lookupTime},
 		{"tick", "microseconds of a tick of control", "backend servers of the fleet, 4 of them its own", servers, tickTime},
+		{"plan", "microseconds of a round of the coordinator's plan", "slots, with a backend server for each 64", slots, planTime},
 		{"member-memory", "bytes of the folded state", "members", members, memberMemory},
 		{"request", "microseconds of processor time, callers and backend server included", "requests through entry and dispatcher", []float64{2000, 4000, 8000}, requestTime},
 		{"direct", "microseconds of processor time, callers and backend server included", "requests straight to the backend server", []float64{2000, 4000, 8000}, directTime},
@@ -220,7 +223,7 @@
 	if err != nil {
 		return 0, err
 	}
-	c, err := coreOf(f)
+	c, err := coreOf(f, false)
 	if err != nil {
 		return 0, err
 	}
@@ -231,8 +234,27 @@
 	})), nil
 }
 
-// coreOf returns the control of the fleet's last member, caught up.
-func coreOf(f *fleet) (*control.Core, error) {
+// planTime steps the control of a coordinator past the time of the next round of
+// moves, each time.
+func planTime(slots float64) (float64, error) {
+	f, err := newFleet(16, int(slots)/slotsPerServer, int(slots))
+	if err != nil {
+		return 0, err
+	}
+	c, err := coreOf(f, true)
+	if err != nil {
+		return 0, err
+	}
+	now := time.Unix(1_000_000, 0)
+	return micros(fastest(func() {
+		now = now.Add(roundOfMoves)
+		c.Step(control.Ticked{}, now)
+	})), nil
+}
+
+// coreOf returns the control of the fleet's last member, or of its coordinator,
+// caught up.
+func coreOf(f *fleet, coordinator bool) (*control.Core, error) {
 	s := state.New()
 	var entries [][]byte
 	encode := func(rs []record.Record) error {
@@ -250,6 +272,9 @@
 		return nil, err
 	}
 	last := s.Members[s.MemberNames()[len(s.Members)-1]]
+	if coordinator {
+		last = s.Members[f.writer.Instance]
+	}
 	if err := encode(f.settle(s)); err != nil {
 		return nil, err
 	}
--- a/lab/load/run.go
+++ b/lab/load/run.go
@@ -39,8 +39,12 @@
 		sent     atomic.Int64
 		started  time.Time
 		progress io.Writer
+		direct   bool // the entries are backend servers
 	}
 
+	// Option changes a Runner at its construction.
+	Option func(*Runner)
+
 	// Outcome is what became of one request. Times count from the start of the
 	// run.
 	Outcome struct {
@@ -60,13 +64,21 @@
 
 // NewRunner returns a runner that spreads requests over entries as a balancer
 // does; it writes progress lines.
-func NewRunner(p *Profile, c *config.Configuration, entries []string, progress io.Writer) *Runner {
-	return &Runner{
+func NewRunner(p *Profile, c *config.Configuration, entries []string, progress io.Writer, options ...Option) *Runner {
+	r := &Runner{
 		profile: p, config: c, entries: entries, progress: progress,
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxInFlight, DisableCompression: true}},
 	}
+	for _, o := range options {
+		o(r)
+	}
+	return r
 }
 
+// Direct makes a runner that sends to backend servers which check no grants,
+// to compare with.
+func Direct() Option { return func(r *Runner) { r.direct = true } }
+
 // Run sends the whole plan at its times and returns the outcomes in order of
 // the plan.
 func (r *Runner) Run(ctx context.Context) []Outcome {
@@ -169,6 +181,9 @@
 			o.Status, o.Code, o.Outcome = 0, 0, code.Unknown.String()
 			return
 		}
+		if r.direct && resp.StatusCode == http.StatusOK {
+			resp.Header.Set(code.OutcomeHeader, code.Done.String())
+		}
 		read(resp, o)
 		return
 	}
--- a/lab/main.go
+++ b/lab/main.go
@@ -118,7 +118,11 @@
 	if err != nil {
 		return err
 	}
-	outcomes := load.NewRunner(p, c, strings.Split(o.entries, ","), os.Stderr).Run(ctx)
+	var options []load.Option
+	if o.direct {
+		options = append(options, load.Direct())
+	}
+	outcomes := load.NewRunner(p, c, strings.Split(o.entries, ","), os.Stderr, options...).Run(ctx)
 	s := load.Summarize(p, c, outcomes)
 	if err := verify(s, c, outcomes, o.platform); err != nil {
 		return err
@@ -170,7 +174,7 @@
 
 // runCapacity measures the slopes again and writes them and the page.
 func runCapacity(o *options) error {
-	slopes, err := capacity.Measure(o.name, func(s capacity.Slope) {
+	slopes, err := capacity.Measure(o.machine, func(s capacity.Slope) {
 		fmt.Printf("%s: %.4g + %.4g for each of %s\n", s.Name, s.Fixed, s.Per, s.Over)
 	})
 	if err != nil {
--- a/operator/exit.go
+++ b/operator/exit.go
@@ -25,7 +25,7 @@
 )
 
 var (
-	failures = errorx.NewNamespace("bronzectl")
+	failures = errorx.NewNamespace("bronzectl").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
 
 	// usage is the type of errors of the command line.
 	usage = failures.NewType("usage")
--- a/operator/options.go
+++ b/operator/options.go
@@ -17,16 +17,7 @@
 	explain bool
 }
 
-const help = `examples:
-  bronzectl questionnaire --from examples/magnolia/answers.yaml --to answers.yaml
-  bronzectl generate answers.yaml --to configuration.yaml --explain
-  bronzectl check configuration.yaml
-  bronzectl diff old.yaml new.yaml
-  bronzectl publish configuration.yaml --platform http://127.0.0.1:8000 --author kim
-  bronzectl status --platform http://127.0.0.1:8000 --json
-  bronzectl explain A-1042 --service proofs
-  bronzectl quarantine
-  bronzectl release proofs 00c0ffee00c0ffee --author kim`
+const help = "bronzectl COMMAND --help shows an example"
 
 // parseOptions reads the command line; a wrong one prints help and ends the
 // process with exitUsage.
@@ -34,44 +25,44 @@
 	o := &options{url: "http://127.0.0.1:8000", author: "operator", version: 1}
 	p := commandline.NewParser("bronzectl", "operates a fleet of bronzewind", help)
 
-	ask := p.Command("questionnaire", "ask for the answers, with those of an earlier file as defaults")
+	ask := p.Command("questionnaire", "ask for the answers, with those of an earlier file as defaults", "--from examples/magnolia/answers.yaml --to answers.yaml")
 	ask.String(&o.from, "", "from", "file of earlier answers")
 	ask.String(&o.to, "", "to", "file to write; standard output without it")
 
-	generate := p.Command("generate", "turn answers into a configuration")
+	generate := p.Command("generate", "turn answers into a configuration", "answers.yaml --to configuration.yaml --explain")
 	generate.AddPositionalValue(&o.file, "answers", 1, true, "answers in YAML")
 	generate.String(&o.to, "", "to", "file to write; standard output without it")
 	generate.Int(&o.version, "", "config-version", "version of the configuration, one above the one in force")
 	generate.Bool(&o.explain, "", "explain", "say on standard error why each value is as it is")
 
-	check := p.Command("check", "check a file of answers or a configuration")
+	check := p.Command("check", "check a file of answers or a configuration", "configuration.yaml")
 	check.AddPositionalValue(&o.file, "file", 1, true, "answers or configuration in YAML")
 
-	diff := p.Command("diff", "say what changes between two configurations, and for whom")
+	diff := p.Command("diff", "say what changes between two configurations, and for whom", "old.yaml new.yaml")
 	diff.AddPositionalValue(&o.file, "old", 1, true, "configuration in YAML")
 	diff.AddPositionalValue(&o.second, "new", 2, true, "configuration in YAML")
 	diff.Bool(&o.json, "", "json", "write JSON")
 
-	publish := p.Command("publish", "put a configuration in force")
+	publish := p.Command("publish", "put a configuration in force", "configuration.yaml --platform http://127.0.0.1:8000 --author kim")
 	publish.AddPositionalValue(&o.file, "file", 1, true, "configuration in YAML")
 	publish.String(&o.author, "a", "author", "who publishes")
 	publish.String(&o.url, "p", "platform", "URL of the platform")
 
-	status := p.Command("status", "show the version in force on each instance")
+	status := p.Command("status", "show the version in force on each instance", "--platform http://127.0.0.1:8000 --json")
 	status.String(&o.url, "p", "platform", "URL of the platform")
 	status.Bool(&o.json, "", "json", "write JSON")
 
-	explain := p.Command("explain", "show where a key is served, and why")
+	explain := p.Command("explain", "show where a key is served, and why", "A-1042 --service proofs")
 	explain.AddPositionalValue(&o.file, "key", 1, true, "the key")
 	explain.String(&o.service, "s", "service", "service; all without it")
 	explain.String(&o.url, "p", "platform", "URL of the platform")
 	explain.Bool(&o.json, "", "json", "write JSON")
 
-	quarantine := p.Command("quarantine", "list the requests that crashed backend servers and are refused")
+	quarantine := p.Command("quarantine", "list the requests that crashed backend servers and are refused", "--platform http://127.0.0.1:8000")
 	quarantine.String(&o.url, "p", "platform", "URL of the platform")
 	quarantine.Bool(&o.json, "", "json", "write JSON")
 
-	release := p.Command("release", "let a request in quarantine run again")
+	release := p.Command("release", "let a request in quarantine run again", "proofs 00c0ffee00c0ffee --author kim")
 	release.AddPositionalValue(&o.file, "service", 1, true, "the service")
 	release.AddPositionalValue(&o.second, "fingerprint", 2, true, "as quarantine lists it")
 	release.String(&o.author, "a", "author", "who releases")
--- a/scripts/fleet.bash
+++ b/scripts/fleet.bash
@@ -50,7 +50,7 @@
 YAML
 }
 
-start_fleet() { # start_fleet NAME SLOTS REGION "SERVICE:MS ...": leaves entries, platform and victim set
+start_fleet() { # start_fleet NAME SLOTS REGION "SERVICE:MS ..." [FLAG]: leaves entries, platform and victim set
   local name=$1 slots=$2 region=$3 port=$((base + 500)) rows="" n
   entries=""
   platform=http://127.0.0.1:$base
@@ -61,7 +61,7 @@
   for service in $4; do
     for n in 1 2 3; do
       port=$((port + 1))
-      local flags=""
+      local flags="${5:-}"
       [ "${service%%:*}" = refunds ] && flags="--no-grant-checks --refuse-late"
       # shellcheck disable=SC2086
       start "${service%%:*}-$n" $bin/bronzelab backend --listen "127.0.0.1:$port" --name "${service%%:*}-$n" \
