--- /dev/null
+++ b/core/ownership/act.go
@@ -0,0 +1,177 @@
+package ownership
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// act returns what follows from the state as it is now.
+func (g *Granter) act(now time.Time) []Effect {
+	var out []Effect
+	for _, name := range slices.Sorted(maps.Keys(g.services)) {
+		s := g.services[name]
+		if !s.listed {
+			continue
+		}
+		if !s.writing {
+			out = append(out, g.plan(s, now)...)
+		}
+		out = append(out, g.move(s, now)...)
+		out = append(out, g.renew(s, now)...)
+	}
+	return out
+}
+
+// move carries the moving rows on: the earlier holders are asked to release,
+// and once none of them can hold the range any more, the owner is granted it.
+func (g *Granter) move(s *service, now time.Time) []Effect {
+	var out []Effect
+	for _, r := range s.book.Rows {
+		if !r.Moving || s.writing && !s.stillWanted(r) {
+			continue
+		}
+		m := g.moveOf(s, r)
+		if m.granted || m.granting {
+			continue
+		}
+		free := true
+		for _, v := range m.leaving {
+			out = append(out, g.vacate(s, r, v, now)...)
+			free = free && g.free(s, v, now)
+		}
+		if owner := s.server(r.Owner); free && s.eligible(owner) && now.Sub(m.tried) >= grantRetry {
+			m.granting, m.tried = true, now
+			out = append(out, g.grant(s, owner, r, m.handover, now))
+		}
+	}
+	return out
+}
+
+// stillWanted reports whether the book that is being written has row r as it is.
+func (s *service) stillWanted(r Row) bool {
+	w, ok := s.wanted.Lookup(r.From)
+	return ok && w.Range == r.Range && w.Fence == r.Fence
+}
+
+// moveOf returns the progress of a moving row. A row whose move this granter
+// did not start may have been granted to anyone that it names.
+func (g *Granter) moveOf(s *service, r Row) *move {
+	if m, ok := s.moves[r.key()]; ok {
+		return m
+	}
+	m := &move{}
+	for _, h := range r.Earlier {
+		m.leaving = append(m.leaving, g.newVacating(s, h))
+	}
+	s.moves[r.key()] = m
+	return m
+}
+
+func (r Row) key() MoveKey { return MoveKey{Fence: r.Fence, Keys: r.Range} }
+
+func (g *Granter) newVacating(s *service, h Hold) *vacating {
+	v := s.server(h.Life)
+	return &vacating{hold: h, sent: v.sent, unanswered: v.unanswered}
+}
+
+// freeAt returns when v surely holds the range no longer, whatever it answers.
+func (g *Granter) freeAt(v *vacating) time.Time {
+	return later(v.sent, g.quiet()).Add(g.longestHold())
+}
+
+// free reports whether v surely holds the range no longer. A release ends its
+// hold at once unless a grant that nobody answered may still be carried out.
+func (g *Granter) free(s *service, v *vacating, now time.Time) bool {
+	if !now.Before(g.freeAt(v)) || s.ended(v.hold.Life) {
+		return true
+	}
+	return v.released && !now.Before(g.lateUntil(v))
+}
+
+// lateUntil returns the time until which a grant that v did not answer may be in
+// force; the zero time when there is none.
+func (g *Granter) lateUntil(v *vacating) time.Time {
+	last := later(v.unanswered, g.quiet())
+	if last.IsZero() {
+		return last
+	}
+	return last.Add(g.longestHold())
+}
+
+// vacate asks an earlier holder to release the range, unless a renewal for it
+// is still on its way.
+func (g *Granter) vacate(s *service, r Row, v *vacating, now time.Time) []Effect {
+	from := s.server(v.hold.Life)
+	done := v.released || v.asking || g.free(s, v, now)
+	if done || from.Address == "" || from.inFlight > 0 || now.Sub(v.asked) < releaseRetry {
+		return nil
+	}
+	v.asking, v.asked = true, now
+	v.unanswered = from.unanswered
+	return []Effect{SendRelease{Service: s.name, Server: from.Server, Range: r.Range, Fence: v.hold.Fence, Move: r.key()}}
+}
+
+func (g *Granter) grant(s *service, to *server, r Row, handover string, now time.Time) SendGrant {
+	to.sent = now
+	to.inFlight++
+	return SendGrant{
+		Service: s.name, Server: to.Server, Range: r.Range, Fence: r.Fence,
+		Hold: g.timing.Hold, Handover: handover,
+	}
+}
+
+// renew renews what is held, one call for each fence and stretch of keys. A row
+// that is about to move is not renewed.
+func (g *Granter) renew(s *service, now time.Time) []Effect {
+	var out []Effect
+	due := map[*server]bool{}
+	for _, r := range merge(s.book.Rows) {
+		v := s.server(r.Owner)
+		if v.Address == "" || r.Moving && !s.grantedTo(r) {
+			continue
+		}
+		ready, looked := due[v]
+		if !looked {
+			ready = v.inFlight == 0 && now.Sub(v.renewed) >= g.timing.Renewal
+			due[v] = ready
+			if ready {
+				v.renewed = now
+			}
+		}
+		if !ready {
+			continue
+		}
+		if s.writing && !s.keeps(r) {
+			continue
+		}
+		out = append(out, g.grant(s, v, r, "", now))
+	}
+	return out
+}
+
+func (s *service) grantedTo(r Row) bool {
+	m, ok := s.moves[r.key()]
+	return ok && m.granted
+}
+
+// keeps reports whether the book that is being written leaves all of r with its
+// owner.
+func (s *service) keeps(r Row) bool {
+	for _, w := range s.wanted.Rows {
+		if w.To >= r.From && w.From <= r.To && (w.Owner != r.Owner || w.Fence != r.Fence) {
+			return false
+		}
+	}
+	return true
+}
+
+// eligible reports whether v may be granted keys.
+func (s *service) eligible(v *server) bool {
+	return !v.gone && !v.Leaving && v.Address != "" && !s.ended(v.Life)
+}
+
+// silent reports whether v has left grants unanswered for too long.
+func (v *server) silent(now time.Time) bool {
+	return !v.failing.IsZero() && now.Sub(v.failing) >= silenceLimit
+}
--- /dev/null
+++ b/core/ownership/balance.go
@@ -0,0 +1,122 @@
+package ownership
+
+import (
+	"cmp"
+	"slices"
+)
+
+// balance answers hot keys, servers of unequal speed and servers that join: a
+// few ranges of the servers that are furthest above the mean utilisation go to
+// those that are furthest below. Nothing moves while another move is on.
+func (p *planner) balance() {
+	s := p.service
+	if p.changed || p.now.Before(s.settled) || p.now.Before(p.granter.quiet()) {
+		return
+	}
+	if slices.ContainsFunc(p.rows, func(r Row) bool { return r.Moving }) {
+		return
+	}
+	mean := p.mean()
+	for range maxMoves {
+		if !p.relieve(mean) {
+			break
+		}
+	}
+	if p.changed {
+		s.settled = p.now.Add(balanceInterval)
+	}
+}
+
+// mean returns the utilisation that all targets would have if they had the same.
+func (p *planner) mean() float64 {
+	weight, sum := 0.0, 0.0
+	for _, t := range p.targets {
+		weight += t.weight
+		sum += t.capacity
+	}
+	return weight / sum
+}
+
+// relieve moves one range away from the target of the highest utilisation; it
+// returns false when that is within the bound or nothing of it can move.
+func (p *planner) relieve(mean float64) bool {
+	from := slices.MaxFunc(p.targets, func(a, b *target) int {
+		return cmp.Compare(a.weight/a.capacity, b.weight/b.capacity)
+	})
+	to := p.lightest()
+	if from.weight <= mean*from.capacity*(1+balanceBound) {
+		return p.welcome(to, from, mean)
+	}
+	excess := from.weight - mean*from.capacity
+	room := mean*to.capacity - to.weight
+	return p.shift(from, to, min(excess, room))
+}
+
+// welcome gives a server far below the mean, such as a new one, a share of the
+// keys of the one with most.
+func (p *planner) welcome(to, from *target, mean float64) bool {
+	room := mean*to.capacity - to.weight
+	if room <= mean*to.capacity*(1-balanceBound) {
+		return false
+	}
+	return p.shift(from, to, min(room, from.weight/2))
+}
+
+// shift moves keys of about the given demand. A row of a single key that is too
+// large to help stays.
+func (p *planner) shift(from, to *target, want float64) bool {
+	if want <= 0 || from == to {
+		return false
+	}
+	best, bestWeight := -1, 0.0
+	for i, r := range p.rows {
+		if r.Owner != from.Life || r.Moving {
+			continue
+		}
+		w := p.service.demand.weight(r.Range)
+		if w > bestWeight && (r.Width() > 1 || w <= want) {
+			best, bestWeight = i, w
+		}
+	}
+	if best < 0 {
+		return false
+	}
+	r := p.rows[best]
+	keys := r.Range
+	if bestWeight > want {
+		keys = p.cut(r.Range, want)
+	}
+	if w := p.service.demand.weight(keys); w > 2*want || w <= 0 {
+		return false
+	}
+	rest := slices.Delete(slices.Clone(p.rows), best, best+1)
+	if keys.From > r.From {
+		rest = append(rest, r.with(Range{From: r.From, To: keys.From - 1}))
+	}
+	if keys.To < r.To {
+		rest = append(rest, r.with(Range{From: keys.To + 1, To: r.To}))
+	}
+	p.rows = append(rest, p.reassign(r, keys, to))
+	return true
+}
+
+// cut returns a part of r of about the given demand, at the end of r that comes
+// nearer to it.
+func (p *planner) cut(r Range, want float64) Range {
+	d := &p.service.demand
+	head := d.head(r, want)
+	rest := d.head(r, d.weight(r)-want)
+	tail := Range{From: rest.To + 1, To: r.To}
+	if off(d.weight(tail), want) < off(d.weight(head), want) {
+		return tail
+	}
+	return head
+}
+
+func off(got, want float64) float64 { return max(got-want, want-got) }
+
+// with returns a row like r for other keys.
+func (r Row) with(keys Range) Row {
+	r.Range = keys
+	return r
+}
--- /dev/null
+++ b/core/ownership/granter.go
@@ -0,0 +1,478 @@
+package ownership
+
+import (
+	"time"
+)
+
+type (
+	// Timing holds the durations that sole ownership rests on.
+	Timing struct {
+		Hold    time.Duration // time to live of a grant, from its arrival
+		Renewal time.Duration // between two renewals; well under Hold
+		Send    time.Duration // a grant that is not answered arrives within it or never
+		Drift   float64       // a backend server's clock may run slow by this share
+		Trust   time.Duration // how long a granter goes on renewing without word of the store
+	}
+
+	// Server is a backend server as it is listed.
+	Server struct {
+		Life
+		Address string
+		Zone    string
+		Slots   int
+		Leaving bool    // it gets no new work
+		Cold    bool    // it is slow after its start
+		Speed   float64 // of its work against the others of its service; 0 means 1
+	}
+
+	// Event is what happened. The set of events is sealed.
+	//
+	//sumtype:decl
+	Event interface{ event() }
+
+	// Effect is what is to be done. The set of effects is sealed.
+	//
+	//sumtype:decl
+	Effect interface{ effect() }
+
+	// BookRead brings a book that some granter wrote.
+	BookRead struct{ Book Book }
+
+	// EpochSeen says that a granter has claimed an epoch, and which one was the
+	// highest before; 0 when there was none. All books written before were read.
+	EpochSeen struct {
+		Epoch, Prior uint64
+		Own          bool // this granter claimed it
+	}
+
+	// Resigned says that the granter of an epoch has stopped: nothing that it
+	// sent is on its way.
+	Resigned struct{ Epoch uint64 }
+
+	// Stopped says that this granter grants no more.
+	Stopped struct{}
+
+	// Confirmed says that no epoch was above this granter's at the time Sent.
+	Confirmed struct{ Sent time.Time }
+
+	// ServersListed brings all backend servers of a service that has exclusive
+	// owners.
+	ServersListed struct {
+		Service string
+		Servers []Server
+	}
+
+	// DemandMeasured brings the demand for the keys of a service.
+	DemandMeasured struct {
+		Service string
+		Demand  Demand
+	}
+
+	// BookWritten tells how a WriteBook ended. One that failed was surely not
+	// written and never will be.
+	BookWritten struct {
+		Service string
+		Version uint64
+		Failed  bool
+	}
+
+	// GrantAnswered tells how a SendGrant ended.
+	GrantAnswered struct {
+		Grant  SendGrant
+		Sent   time.Time
+		Result Result
+	}
+
+	// ReleaseAnswered tells how a SendRelease ended.
+	ReleaseAnswered struct {
+		Release  SendRelease
+		Result   Result
+		Handover string
+	}
+
+	// Ticked lets time pass.
+	Ticked struct{}
+
+	// WriteBook asks for a book to be written under its epoch.
+	WriteBook struct{ Book Book }
+
+	// SendGrant asks for a range to be granted, or for its grant to be renewed.
+	SendGrant struct {
+		Service  string
+		Server   Server
+		Range    Range
+		Fence    uint64
+		Hold     time.Duration
+		Handover string // of the last holder; "" when there is none
+	}
+
+	// SendRelease asks for a range to be taken back.
+	SendRelease struct {
+		Service string
+		Server  Server
+		Range   Range
+		Fence   uint64
+		Move    MoveKey // that the release is for
+	}
+
+	// Decided asks for a log line on a change of what the granter believes.
+	Decided struct {
+		Service string
+		What    string
+		Range   Range
+		Life    Life
+		Fence   uint64
+		Wait    time.Duration
+	}
+
+	// Result is what is known of a grant or a release that was sent.
+	Result int
+
+	// Granter decides on the ownership of all services. All instances feed one;
+	// it acts only while it holds an epoch.
+	Granter struct {
+		timing    Timing
+		epoch     uint64               // 0 while another instance grants
+		highest   uint64               // of all epochs seen
+		confirmed time.Time            // no epoch was above at this time
+		stops     map[uint64]time.Time // by epoch: its granter sends nothing from then on
+		services  map[string]*service
+	}
+
+	service struct {
+		name    string
+		book    Book // last one written
+		writing bool
+		wanted  Book // being written, while writing
+		listed  bool // servers were listed at least once
+		first   time.Time
+		servers map[Life]*server
+		moves   map[MoveKey]*move // of the rows that are moving
+		demand  Demand
+		settled time.Time // no moves for balance before it
+	}
+
+	// server is what the granter knows of one life.
+	server struct {
+		Server
+		gone       bool      // listed no longer
+		sent       time.Time // last grant that may have arrived
+		unanswered time.Time // last grant that may have arrived and was not answered
+		inFlight   int       // grants
+		renewed    time.Time // last time that renewals were sent
+		failing    time.Time // since when no grant was answered; zero while they are
+	}
+
+	// move is the progress of a row from its earlier holders to its owner.
+	move struct {
+		leaving  []*vacating
+		handover string
+		granting bool
+		granted  bool
+		tried    time.Time
+	}
+
+	// MoveKey names a move; no two moves have the same fence and range.
+	MoveKey struct {
+		Fence uint64
+		Keys  Range
+	}
+
+	// vacating is one life that may still hold the range of a move.
+	vacating struct {
+		hold       Hold
+		sent       time.Time // last grant of this granter that may have arrived
+		unanswered time.Time // last one that was not answered
+		asked      time.Time
+		asking     bool
+		released   bool
+	}
+)
+
+const (
+	// Done means that the server did as asked.
+	Done Result = iota
+	// Refused means that the server has seen a higher fence.
+	Refused
+	// Unsent means that nothing reached the server.
+	Unsent
+	// Unanswered means that the server may have taken the call.
+	Unanswered
+)
+
+const (
+	releaseRetry = 500 * time.Millisecond
+	grantRetry   = 250 * time.Millisecond
+
+	// firstWait is how long the first assignment waits for more servers to be
+	// listed.
+	firstWait = 1500 * time.Millisecond
+
+	// silenceLimit is how long a server may leave grants unanswered before its
+	// keys go elsewhere.
+	silenceLimit = 400 * time.Millisecond
+
+	// arrivalMargin is added to each bound on another machine's clock.
+	arrivalMargin = 100 * time.Millisecond
+)
+
+func (BookRead) event()        {}
+func (EpochSeen) event()       {}
+func (Resigned) event()        {}
+func (Stopped) event()         {}
+func (Confirmed) event()       {}
+func (ServersListed) event()   {}
+func (DemandMeasured) event()  {}
+func (BookWritten) event()     {}
+func (GrantAnswered) event()   {}
+func (ReleaseAnswered) event() {}
+func (Ticked) event()          {}
+
+func (WriteBook) effect()   {}
+func (SendGrant) effect()   {}
+func (SendRelease) effect() {}
+func (Decided) effect()     {}
+
+// NewGranter returns a granter without an epoch.
+func NewGranter(t Timing) *Granter {
+	return &Granter{timing: t, services: map[string]*service{}, stops: map[uint64]time.Time{}}
+}
+
+// Epoch returns the epoch held; 0 while another instance grants.
+func (g *Granter) Epoch() uint64 { return g.epoch }
+
+// MaySend reports whether a grant or release may go out at now. It is asked
+// again right before each send, since the process may have stood still.
+func (g *Granter) MaySend(now time.Time) bool {
+	return g.epoch > 0 && now.Sub(g.confirmed) < g.timing.Trust
+}
+
+// TrustedUntil returns the time from which nothing may be sent without new word
+// of the store.
+func (g *Granter) TrustedUntil() time.Time {
+	if g.epoch == 0 {
+		return time.Time{}
+	}
+	return g.confirmed.Add(g.timing.Trust)
+}
+
+// Step takes one event and returns what is to be done, in order.
+func (g *Granter) Step(e Event, now time.Time) []Effect {
+	switch e := e.(type) {
+	case BookRead:
+		g.read(e.Book)
+	case EpochSeen:
+		g.seen(e, now)
+	case Resigned:
+		g.stops[e.Epoch] = now
+	case Stopped:
+		g.epoch = 0
+	case Confirmed:
+		if e.Sent.After(g.confirmed) {
+			g.confirmed = e.Sent
+		}
+		return nil
+	case ServersListed:
+		g.list(e, now)
+	case DemandMeasured:
+		g.service(e.Service).demand = e.Demand
+		return nil
+	case BookWritten:
+		g.written(e)
+	case GrantAnswered:
+		g.grantAnswered(e, now)
+	case ReleaseAnswered:
+		g.releaseAnswered(e)
+	case Ticked:
+	}
+	if !g.MaySend(now) {
+		return nil
+	}
+	return g.act(now)
+}
+
+// longestHold is how long after its sending a grant may be in force.
+func (g *Granter) longestHold() time.Duration {
+	return g.timing.Send + time.Duration(float64(g.timing.Hold)*(1+g.timing.Drift)) + arrivalMargin
+}
+
+func (g *Granter) service(name string) *service {
+	s, ok := g.services[name]
+	if !ok {
+		s = &service{name: name, book: Book{Service: name}, servers: map[Life]*server{}, moves: map[MoveKey]*move{}}
+		g.services[name] = s
+	}
+	return s
+}
+
+func (s *service) server(l Life) *server {
+	v, ok := s.servers[l]
+	if !ok {
+		v = &server{Server: Server{Life: l}, gone: true}
+		s.servers[l] = v
+	}
+	return v
+}
+
+// read takes a book of the store; books of an older epoch or version say
+// nothing new.
+func (g *Granter) read(b Book) {
+	s := g.service(b.Service)
+	newer := b.Epoch > s.book.Epoch || b.Epoch == s.book.Epoch && b.Version > s.book.Version
+	if newer {
+		s.book = b
+	}
+}
+
+// seen takes note of a claim. The granter of an earlier epoch may go on renewing
+// for as long as it trusts its last word of the store.
+func (g *Granter) seen(e EpochSeen, now time.Time) {
+	if e.Epoch <= g.highest {
+		return
+	}
+	for _, old := range []uint64{g.highest, e.Prior} {
+		if _, known := g.stops[old]; !known && old > 0 {
+			g.stops[old] = now.Add(g.timing.Trust)
+		}
+	}
+	g.highest = e.Epoch
+	g.epoch = 0
+	if e.Own {
+		g.begin(e.Epoch, now)
+	}
+}
+
+// begin starts to grant.
+func (g *Granter) begin(epoch uint64, now time.Time) {
+	g.epoch, g.confirmed = epoch, now
+	for _, s := range g.services {
+		s.writing = false
+		s.moves = map[MoveKey]*move{}
+		for _, v := range s.servers {
+			v.inFlight, v.renewed, v.failing = 0, time.Time{}, time.Time{}
+		}
+	}
+}
+
+// quiet returns the time from which nothing of earlier granters is sent.
+func (g *Granter) quiet() time.Time {
+	var last time.Time
+	for _, t := range g.stops {
+		if t.After(last) {
+			last = t
+		}
+	}
+	return last
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (g *Granter) list(e ServersListed, now time.Time) {
+	s := g.service(e.Service)
+	if !s.listed && len(e.Servers) > 0 {
+		s.listed, s.first = true, now
+	}
+	seen := map[Life]bool{}
+	for _, l := range e.Servers {
+		seen[l.Life] = true
+		v := s.server(l.Life)
+		v.Server, v.gone = l, false
+	}
+	for l, v := range s.servers {
+		v.gone = !seen[l]
+	}
+}
+
+// ended reports whether life l is surely over: its server has started again
+// since, or its address belongs to a server that was born later.
+func (s *service) ended(l Life) bool {
+	old := s.servers[l]
+	for k, v := range s.servers {
+		if k.Born <= l.Born || k == l {
+			continue
+		}
+		if k.ID == l.ID || old != nil && old.Address != "" && old.Address == v.Address {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Granter) written(e BookWritten) {
+	s := g.service(e.Service)
+	if !s.writing || s.wanted.Version != e.Version {
+		return
+	}
+	s.writing = false
+	if !e.Failed {
+		s.book = s.wanted
+	}
+}
+
+func (g *Granter) grantAnswered(e GrantAnswered, now time.Time) {
+	s := g.service(e.Grant.Service)
+	v := s.server(e.Grant.Server.Life)
+	v.inFlight = max(0, v.inFlight-1)
+	switch e.Result {
+	case Done:
+		v.failing = time.Time{}
+	case Unsent, Unanswered:
+		if v.failing.IsZero() {
+			v.failing = now
+		}
+		if e.Result == Unanswered && e.Sent.After(v.unanswered) {
+			v.unanswered = e.Sent
+		}
+	case Refused:
+		s.raiseFence(e.Grant.Fence)
+	}
+	if m, ok := s.moves[MoveKey{e.Grant.Fence, e.Grant.Range}]; ok && m.granting {
+		m.granting = false
+		m.granted = e.Result == Done
+	}
+}
+
+// raiseFence makes the next fences pass what a server has seen.
+func (s *service) raiseFence(refused uint64) {
+	const step = 1 << 10
+	if s.book.Fence < refused+step {
+		s.book.Fence = refused + step
+	}
+}
+
+func (g *Granter) releaseAnswered(e ReleaseAnswered) {
+	s := g.service(e.Release.Service)
+	m, ok := s.moves[e.Release.Move]
+	if !ok {
+		return
+	}
+	for _, v := range m.leaving {
+		if v.hold.Life != e.Release.Server.Life {
+			continue
+		}
+		v.asking = false
+		if e.Result == Done {
+			v.released = true
+			m.handover = e.Handover
+		}
+	}
+}
+
+// String names a result as logs do.
+func (r Result) String() string {
+	switch r {
+	case Done:
+		return "done"
+	case Refused:
+		return "refused"
+	case Unsent:
+		return "unsent"
+	default:
+		return "unanswered"
+	}
+}
--- /dev/null
+++ b/core/ownership/plan.go
@@ -0,0 +1,241 @@
+package ownership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// balanceInterval is the least time between two rounds of moves for
+	// balance; demand settles in less.
+	balanceInterval = 600 * time.Millisecond
+
+	// balanceBound is how far a server's utilisation may be above the mean, as a
+	// share of the mean, before keys move away from it.
+	balanceBound = 0.3
+
+	// maxMoves is the most ranges that one round of balance moves.
+	maxMoves = 8
+
+	// spreadParts is how many servers share the keys of a server that is lost.
+	spreadParts = 3
+
+	// coldCapacity is what a server counts for while it is slow after its start.
+	coldCapacity = 0.5
+)
+
+type (
+	// planner makes the next rows of one service.
+	planner struct {
+		granter *Granter
+		service *service
+		now     time.Time
+		rows    []Row
+		targets []*target // in order of name
+		next    uint64    // next fence
+		changed bool
+		log     []Effect
+	}
+
+	// target is a server that may be granted keys, with the demand of those that
+	// it has or is to have.
+	target struct {
+		*server
+		weight   float64
+		capacity float64 // above 0
+	}
+)
+
+// plan proposes the next book when there is reason for one.
+func (g *Granter) plan(s *service, now time.Time) []Effect {
+	p := g.newPlanner(s, now)
+	p.finish()
+	if len(p.targets) > 0 {
+		p.replace()
+		p.fill()
+		p.balance()
+	}
+	if !p.changed {
+		return nil
+	}
+	book := s.book.WithRows(p.rows)
+	book.Rows = merge(book.Rows)
+	book.Epoch, book.Fence = g.epoch, p.next-1
+	s.wanted, s.writing = book, true
+	return append(p.log, WriteBook{Book: book})
+}
+
+func (g *Granter) newPlanner(s *service, now time.Time) *planner {
+	p := &planner{granter: g, service: s, now: now, rows: slices.Clone(s.book.Rows), next: s.book.Fence + 1}
+	for _, v := range s.servers {
+		if s.eligible(v) && !v.silent(now) {
+			p.targets = append(p.targets, &target{server: v, capacity: capacity(v)})
+		}
+	}
+	slices.SortFunc(p.targets, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
+	for _, r := range p.rows {
+		if t := p.target(r.Owner); t != nil {
+			t.weight += s.demand.weight(r.Range)
+		}
+	}
+	return p
+}
+
+// capacity is what v can do in comparison with others of its service.
+func capacity(v *server) float64 {
+	out := float64(max(1, v.Slots))
+	if v.Speed > 0 {
+		out *= v.Speed
+	}
+	if v.Cold {
+		out *= coldCapacity
+	}
+	return out
+}
+
+func (p *planner) target(l Life) *target {
+	for _, t := range p.targets {
+		if t.Life == l {
+			return t
+		}
+	}
+	return nil
+}
+
+// fence returns a fence above all others of the service.
+func (p *planner) fence() uint64 {
+	p.next++
+	return p.next - 1
+}
+
+// finish ends the moves whose owner has taken its grant.
+func (p *planner) finish() {
+	for i, r := range p.rows {
+		m, ok := p.service.moves[r.key()]
+		if !r.Moving || !ok || !m.granted {
+			continue
+		}
+		delete(p.service.moves, r.key())
+		p.rows[i].Moving, p.rows[i].Earlier, p.rows[i].Waits = false, nil, 0
+		p.changed = true
+		p.decided("granted", r, 0)
+	}
+}
+
+// replace gives the keys of servers that leave, are lost or are silent to
+// others.
+func (p *planner) replace() {
+	var out []Row
+	for _, r := range p.rows {
+		if p.target(r.Owner) != nil {
+			out = append(out, r)
+			continue
+		}
+		for _, part := range p.parts(r.Range) {
+			out = append(out, p.reassign(r, part, p.lightest()))
+		}
+	}
+	p.rows = out
+}
+
+// parts splits a range into what one server each is to take.
+func (p *planner) parts(r Range) []Range {
+	n := min(spreadParts, len(p.targets))
+	if int(r.Width()) < KeyCount/(8*len(p.targets)) {
+		return []Range{r}
+	}
+	return p.split(r, n)
+}
+
+// split cuts r into n parts of about the same demand.
+func (p *planner) split(r Range, n int) []Range {
+	var out []Range
+	for ; n > 1 && r.Width() > 1; n-- {
+		head := p.service.demand.head(r, p.service.demand.weight(r)/float64(n))
+		out = append(out, head)
+		r.From = head.To + 1
+	}
+	return append(out, r)
+}
+
+// lightest returns the target of least utilisation.
+func (p *planner) lightest() *target {
+	return slices.MinFunc(p.targets, func(a, b *target) int {
+		return cmp.Compare(a.weight/a.capacity, b.weight/b.capacity)
+	})
+}
+
+// reassign moves keys of row r to t. Whoever may hold them now is kept in the
+// row until they surely don't.
+func (p *planner) reassign(r Row, keys Range, t *target) Row {
+	next := Row{Range: keys, Owner: t.Life, Fence: p.fence(), Moving: true}
+	m := &move{}
+	if r.Moving {
+		old := p.granter.moveOf(p.service, r)
+		for _, v := range old.leaving {
+			m.leaving = append(m.leaving, &vacating{hold: v.hold, sent: v.sent, unanswered: v.unanswered})
+		}
+		if !old.tried.IsZero() || p.mayHoldFromBefore(r) {
+			m.leaving = append(m.leaving, p.granter.newVacating(p.service, Hold{r.Owner, r.Fence}))
+		}
+	} else {
+		m.leaving = append(m.leaving, p.granter.newVacating(p.service, Hold{r.Owner, r.Fence}))
+	}
+	m.leaving = slices.DeleteFunc(m.leaving, func(v *vacating) bool { return p.service.ended(v.hold.Life) })
+	for _, v := range m.leaving {
+		next.Earlier = append(next.Earlier, v.hold)
+		next.Waits = max(next.Waits, p.waitFor(v))
+	}
+	p.service.moves[next.key()] = m
+	p.changed = true
+	if old := p.target(r.Owner); old != nil {
+		old.weight -= p.service.demand.weight(keys)
+	}
+	t.weight += p.service.demand.weight(keys)
+	p.decided("moving", next, time.Duration(next.Waits)*time.Millisecond)
+	return next
+}
+
+// mayHoldFromBefore reports whether an earlier granter may have granted r to its
+// owner.
+func (p *planner) mayHoldFromBefore(r Row) bool { return p.service.book.Epoch != p.granter.epoch }
+
+// waitFor returns the milliseconds until v is surely free, or 0 when it can be
+// asked to release.
+func (p *planner) waitFor(v *vacating) int64 {
+	s := p.service.server(v.hold.Life)
+	if !s.silent(p.now) && !s.gone {
+		return 0
+	}
+	return max(0, p.granter.freeAt(v).Sub(p.now).Milliseconds())
+}
+
+// fill gives out the keys that nobody holds.
+func (p *planner) fill() {
+	if p.now.Sub(p.service.first) < firstWait {
+		return
+	}
+	book := Book{Rows: p.rows}
+	for _, gap := range book.Gaps() {
+		n := len(p.targets)
+		if len(p.rows) > 0 {
+			n = min(n, spreadParts)
+		}
+		for _, part := range p.split(gap, n) {
+			t := p.lightest()
+			row := Row{Range: part, Owner: t.Life, Fence: p.fence(), Moving: true}
+			p.service.moves[row.key()] = &move{}
+			t.weight += p.service.demand.weight(part)
+			p.rows = append(p.rows, row)
+			p.changed = true
+			p.decided("assigned", row, 0)
+		}
+	}
+}
+
+func (p *planner) decided(what string, r Row, wait time.Duration) {
+	p.log = append(p.log, Decided{
+		Service: p.service.name, What: what, Range: r.Range, Life: r.Owner, Fence: r.Fence, Wait: wait,
+	})
+}
--- /dev/null
+++ b/router/datagram/datagram.go
@@ -0,0 +1,139 @@
+// Package datagram carries small messages between instances that may be lost:
+// the demand for keys, and requests that took a backend server down.
+package datagram
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"bronzewind.example/core/ownership"
+)
+
+const (
+	maxBytes = 8 << 10
+	maxBusy  = 64
+)
+
+type (
+	// Message is what one instance tells another; fields that are empty say
+	// nothing.
+	Message struct {
+		From   string        `cbor:"1,keyasint"`
+		Demand []Demand      `cbor:"2,keyasint,omitempty"`
+		Crash  uint64        `cbor:"3,keyasint,omitempty"` // fingerprint of a request
+		Speeds []ServerSpeed `cbor:"4,keyasint,omitempty"`
+	}
+
+	// Demand is the demand for the keys of one service at one instance, in tenths
+	// of requests a second.
+	Demand struct {
+		Service string            `cbor:"1,keyasint"`
+		Buckets map[uint16]uint32 `cbor:"2,keyasint"` // those that are not 0
+		Keys    []uint32          `cbor:"3,keyasint"` // in order
+		Rates   []uint32          `cbor:"4,keyasint"` // of Keys
+	}
+
+	// ServerSpeed is how fast an instance found a server against the usual.
+	ServerSpeed struct {
+		ID    string  `cbor:"1,keyasint"`
+		Speed float32 `cbor:"2,keyasint"`
+	}
+
+	// Bus sends and receives messages at one UDP address.
+	Bus struct {
+		conn *net.UDPConn
+	}
+)
+
+// Listen opens the bus at address.
+func Listen(address string) (*Bus, error) {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, fmt.Errorf("datagram: %w", err)
+	}
+	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
+	if err != nil {
+		return nil, fmt.Errorf("datagram: %w", err)
+	}
+	return &Bus{conn: c}, nil
+}
+
+// Send sends m to address; it may be lost all the same.
+func (b *Bus) Send(address string, m Message) error {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return fmt.Errorf("datagram: %w", err)
+	}
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		return fmt.Errorf("datagram: %w", err)
+	}
+	if len(data) > maxBytes {
+		return fmt.Errorf("datagram: a message of %d bytes is too long", len(data))
+	}
+	_, err = b.conn.WriteToUDPAddrPort(data, a)
+	return err
+}
+
+// Run hands received messages to take until ctx ends; ones that can't be read
+// are left out. It closes the bus and reports its end on done.
+func (b *Bus) Run(ctx context.Context, take func(Message), done chan<- error) {
+	stop := context.AfterFunc(ctx, func() { _ = b.conn.Close() })
+	defer stop()
+	buffer := make([]byte, maxBytes)
+	for {
+		n, _, err := b.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			done <- nil
+			return
+		}
+		if err != nil {
+			done <- fmt.Errorf("datagram: %w", err)
+			return
+		}
+		var m Message
+		if err := cbor.Unmarshal(buffer[:n], &m); err != nil {
+			continue // from something that is no instance
+		}
+		take(m)
+	}
+}
+
+// PackDemand makes a message of d.
+func PackDemand(service string, d ownership.Demand) Demand {
+	const tenths = 10
+	out := Demand{Service: service, Buckets: map[uint16]uint32{}}
+	for i, v := range d.Buckets {
+		if n := uint32(v*tenths + 0.5); n > 0 {
+			out.Buckets[uint16(i)] = n
+		}
+	}
+	for _, k := range d.Busy[:min(len(d.Busy), maxBusy)] {
+		out.Keys = append(out.Keys, k.Key)
+		out.Rates = append(out.Rates, uint32(k.Rate*tenths+0.5))
+	}
+	return out
+}
+
+// Unpack returns the demand in requests a second; what is out of range is left
+// out.
+func (d Demand) Unpack() ownership.Demand {
+	const tenths = 10
+	var out ownership.Demand
+	for i, v := range d.Buckets {
+		if int(i) < len(out.Buckets) {
+			out.Buckets[i] = float64(v) / tenths
+		}
+	}
+	for i, k := range d.Keys {
+		if i < len(d.Rates) && k < ownership.KeyCount {
+			out.Busy = append(out.Busy, ownership.BusyKey{Key: k, Rate: float64(d.Rates[i]) / tenths})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/router/direct/admit.go
@@ -0,0 +1,43 @@
+package direct
+
+import "time"
+
+const (
+	// minReturn and maxReturn bound the wait that a refused caller is told.
+	minReturn = 40 * time.Millisecond
+	maxReturn = 1500 * time.Millisecond
+
+	// returnShare of the caller's time is the longest useful wait.
+	returnShare = 3
+)
+
+// admission is whether a request is sent, and if not, when its caller may come
+// back.
+type admission struct {
+	send    bool
+	comeIn  time.Duration // when refused
+	expects time.Duration // time to the answer
+}
+
+// admit answers a flood: a request goes to a server only when its answer can be
+// expected before the caller's target, so that what is served is served in
+// time and the queues stay short. What is refused is told when the excess work
+// at the server will be done. A request that is late already, such as one that
+// came back, is sent as long as it can be answered at all.
+func admit(c *candidate, w work, toTarget, toDeadline time.Duration) admission {
+	t := c.answerTime(w)
+	limit := toTarget
+	if limit <= c.hop+time.Duration(float64(w.usual)*c.slowness) {
+		limit = toDeadline
+	}
+	if t <= min(limit, toDeadline) {
+		return admission{send: true, expects: t}
+	}
+	excess := max(t-limit, minReturn)
+	return admission{comeIn: comeBack(excess, toDeadline), expects: t}
+}
+
+// comeBack bounds the wait that a caller with left of its time is told.
+func comeBack(wait, left time.Duration) time.Duration {
+	return max(minReturn, min(wait, maxReturn, left/returnShare))
+}
--- /dev/null
+++ b/router/direct/backend.go
@@ -0,0 +1,91 @@
+package direct
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bronzewind.example/core/ownership"
+)
+
+type (
+	// Listed is a backend server as it is listed. It is immutable.
+	Listed struct {
+		ownership.Life
+		Service  string
+		Address  string
+		Distance Distance
+		Slots    int // requests that it runs at once; at least 1
+		Leaving  bool
+		Cold     bool // slow after its start
+	}
+
+	// Distance tells how far a backend server is from this instance.
+	Distance int
+
+	// backend is a listed server with what this instance has seen of it.
+	backend struct {
+		info atomic.Pointer[Listed]
+		pool pool
+
+		mu       sync.Mutex
+		load     load      // guarded by mu
+		health   health    // guarded by mu
+		lastUsed time.Time // guarded by mu
+	}
+
+	// serverKey names one life of a server at one address.
+	serverKey struct {
+		life    ownership.Life
+		address string
+	}
+)
+
+const (
+	// Near is the same failure domain.
+	Near Distance = iota
+	// Regional is another failure domain of the same region.
+	Regional
+	// Far is another region.
+	Far
+)
+
+func newBackend(s Listed) *backend {
+	b := &backend{}
+	b.info.Store(&s)
+	return b
+}
+
+// begin counts a request that is about to be sent.
+func (b *backend) begin(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.load.inFlight++
+	b.lastUsed = now
+}
+
+// end counts its end, and the time that a connection took to open, if one was.
+// It returns how slow the server is against the usual.
+func (b *backend) end(e seen, dialled time.Duration, now time.Time) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.load.inFlight--
+	if dialled > 0 {
+		b.load.connected(dialled)
+	}
+	b.load.observe(e, now)
+	b.health.observe(e, now)
+	return b.load.slowness(false)
+}
+
+// view returns what placement needs to know.
+func (b *backend) view(now time.Time) candidate {
+	s := b.info.Load()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return candidate{
+		backend: b, distance: s.Distance, slots: b.load.slotsOf(s), load: b.load.present(now),
+		slowness: b.load.slowness(s.Cold), hop: b.load.hop(s.Distance),
+		failing: b.health.share(now), out: b.health.out(now),
+	}
+}
--- /dev/null
+++ b/router/direct/conn.go
@@ -0,0 +1,231 @@
+package direct
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	dialTimeout    = 600 * time.Millisecond
+	defaultKeep    = 4 * time.Second // of an unused connection whose server names no time
+	keepMargin     = time.Second     // before the server's own timeout
+	maxKeep        = 60 * time.Second
+	readBufferSize = 4 << 10
+
+	// silentLimit ends a connection on which sent bytes are not acknowledged.
+	silentLimit = 900 * time.Millisecond
+)
+
+type (
+	// pool holds the connections to one backend server.
+	pool struct {
+		mu      sync.Mutex
+		idle    []*conn // last used at the end; guarded by mu
+		open    int     // guarded by mu
+		dialled uint64  // guarded by mu
+		closed  bool    // guarded by mu
+	}
+
+	// conn is a connection that carries one request at a time.
+	conn struct {
+		net.Conn
+		reader  *bufio.Reader
+		written int64 // bytes of the present request that were handed to the kernel
+		reused  bool
+		keep    time.Duration // how long it may stay unused
+		unused  time.Time
+	}
+)
+
+var errConnLimit = errors.New("as many connections to the backend server are open as this instance may have")
+
+// get returns an open connection; limit bounds how many there are. The second
+// result is the time that opening it took; 0 for one that was used before.
+func (p *pool) get(ctx context.Context, address string, limit int, deadline time.Time) (*conn, time.Duration, error) {
+	if c := p.take(time.Now()); c != nil {
+		return c, 0, nil
+	}
+	p.mu.Lock()
+	if p.open >= limit {
+		p.mu.Unlock()
+		return nil, 0, errConnLimit
+	}
+	p.open++
+	p.dialled++
+	p.mu.Unlock()
+	c, took, err := dial(ctx, address, deadline)
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		return nil, 0, err
+	}
+	return c, took, nil
+}
+
+func dial(ctx context.Context, address string, deadline time.Time) (*conn, time.Duration, error) {
+	d := net.Dialer{Timeout: dialTimeout, Deadline: deadline, KeepAlive: -1, Control: setUserTimeout}
+	began := time.Now()
+	raw, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, 0, err
+	}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize), keep: defaultKeep}, time.Since(began), nil
+}
+
+// setUserTimeout bounds how long sent bytes may stay without acknowledgement,
+// for connections that go silent without a reset.
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var inner error
+	err := raw.Control(func(fd uintptr) {
+		inner = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentLimit.Milliseconds()))
+	})
+	return errors.Join(err, inner)
+}
+
+// take returns an unused connection that is still open and has no stray bytes.
+func (p *pool) take(now time.Time) *conn {
+	for {
+		p.mu.Lock()
+		n := len(p.idle)
+		if n == 0 {
+			p.mu.Unlock()
+			return nil
+		}
+		c := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		p.mu.Unlock()
+		if now.Sub(c.unused) < c.keep && c.quiet() {
+			c.reused, c.written = true, 0
+			return c
+		}
+		p.drop(c)
+	}
+}
+
+// put keeps c for the next request.
+func (p *pool) put(c *conn, now time.Time) {
+	c.unused = now
+	_ = c.SetDeadline(time.Time{}) // a failure shows at the next use
+	p.mu.Lock()
+	closed := p.closed
+	if !closed {
+		p.idle = append(p.idle, c)
+	}
+	p.mu.Unlock()
+	if closed {
+		p.drop(c)
+	}
+}
+
+// drop closes c.
+func (p *pool) drop(c *conn) {
+	_ = c.Close() // nothing is left to lose on it
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+}
+
+// sweep closes connections that were unused for as long as their server keeps
+// them.
+func (p *pool) sweep(now time.Time) {
+	var old []*conn
+	p.mu.Lock()
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if now.Sub(c.unused) >= c.keep {
+			old = append(old, c)
+		} else {
+			kept = append(kept, c)
+		}
+	}
+	p.idle = kept
+	p.mu.Unlock()
+	for _, c := range old {
+		p.drop(c)
+	}
+}
+
+// close ends the unused connections; those in use end after their request.
+func (p *pool) close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle, p.closed = nil, true
+	p.mu.Unlock()
+	for _, c := range idle {
+		p.drop(c)
+	}
+}
+
+// alive reports whether the server still has one of the unused connections open,
+// or else accepts a new one.
+func (p *pool) alive(ctx context.Context, address string, limit int) bool {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	c, _, err := p.get(ctx, address, limit, time.Now().Add(dialTimeout))
+	if err != nil {
+		return errors.Is(err, errConnLimit)
+	}
+	p.put(c, time.Now())
+	return true
+}
+
+// Write implements net.Conn and counts.
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.written += int64(n)
+	return n, err
+}
+
+// quiet reports whether the connection is open and holds no bytes that nobody
+// asked for.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = rc.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(err, unix.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// keepFor takes the time for which the server keeps an unused connection.
+func (c *conn) keepFor(header string) {
+	for _, f := range strings.Split(header, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(f), "=")
+		seconds, err := strconv.Atoi(value)
+		if name != "timeout" || err != nil {
+			continue
+		}
+		c.keep = min(max(time.Duration(seconds)*time.Second-keepMargin, 0), maxKeep)
+	}
+}
+
+// broken reports whether err says that the peer ended the connection, rather
+// than that time ran out.
+func broken(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
--- /dev/null
+++ b/router/direct/exchange.go
@@ -0,0 +1,270 @@
+package direct
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"bronzewind.example/core/code"
+)
+
+const (
+	// maxStray is the number of answers to other requests that are read past.
+	maxStray = 2
+
+	// inlineBody is the largest body that is written before the answer is read.
+	inlineBody = 8 << 10
+
+	maxAnswerBytes = 64 << 20
+
+	// writerPause is how long a writer that is done has to say so.
+	writerPause = 2 * time.Millisecond
+)
+
+const (
+	// outcomeDone means that the whole answer to the request is here; its status
+	// may be a failure.
+	outcomeDone outcome = iota
+	// outcomeNotRun means that the server says it did not run the request.
+	outcomeNotRun
+	// outcomeUnsent means that no byte of the request left.
+	outcomeUnsent
+	// outcomeUnknown means that the request may have run.
+	outcomeUnknown
+	// outcomeCancelled means that the caller left; the request may have run.
+	outcomeCancelled
+)
+
+type (
+	// outcome is what is known of one try.
+	outcome int
+
+	// Dialect names the headers between instances, callers and backend servers.
+	Dialect struct {
+		RequestID string
+		Deadline  string // milliseconds that are left
+		Key       string // number of the key, 0 to ownership.KeyCount-1
+		Expect    string // ID of the server that is to run the request
+		Signature string // a success without it is not the server's
+		NotRun    string // marks a refusal before any work
+		Load      string
+		// ParseLoad reads the value of Load.
+		ParseLoad func(string) LoadReport
+	}
+
+	// request is a caller's request while it is served.
+	request struct {
+		id         string
+		method     string
+		target     string // path and query, as the caller sent them
+		host       string
+		header     http.Header
+		body       []byte
+		idempotent bool
+		deadline   time.Time
+	}
+
+	// answer is a backend server's whole answer.
+	answer struct {
+		status int
+		header http.Header
+		body   []byte
+	}
+
+	// try is how one exchange ended.
+	try struct {
+		outcome outcome
+		answer  *answer // of outcomeDone, and of outcomeNotRun
+		reason  code.Code
+		err     error
+		crash   bool // the connection broke before any byte of an answer
+		report  LoadReport
+		took    time.Duration
+		dialled time.Duration // 0 when a used connection was taken
+		reused  bool
+	}
+)
+
+var (
+	errForeign   = errors.New("the answer belongs to another request")
+	errUnsigned  = errors.New("the success bears no signature of the server")
+	errEncoded   = errors.New("the body of the success is encoded, so it is not the server's own")
+	errTooLong   = errors.New("the answer is longer than an instance holds")
+	aLongTimeAgo = time.Unix(1, 0)
+)
+
+// exchange sends r to b once and reads the answer. ctx ends when the caller
+// leaves.
+func (s *Server) exchange(ctx context.Context, b *backend, r *request) try {
+	info := b.info.Load()
+	began := time.Now()
+	c, dialled, err := b.pool.get(ctx, info.Address, s.connections(info.Service), r.deadline)
+	if err != nil {
+		return try{outcome: unsentOrLeft(ctx), reason: code.BackendUnreachable, err: err}
+	}
+	t := try{dialled: dialled, reused: c.reused}
+	_ = c.SetDeadline(r.deadline) // a failure shows at the write
+	if r.idempotent {
+		stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(aLongTimeAgo) })
+		defer stop()
+	}
+	written := make(chan error, 1)
+	if len(r.body) <= inlineBody {
+		written <- s.write(c, r, info.ID)
+	} else {
+		go func() { written <- s.write(c, r, info.ID) }()
+	}
+	s.readAnswer(ctx, &b.pool, c, r, &t, written)
+	t.took = time.Since(began) - dialled
+	return t
+}
+
+func unsentOrLeft(ctx context.Context) outcome {
+	if ctx.Err() != nil {
+		return outcomeCancelled
+	}
+	return outcomeUnsent
+}
+
+// write writes r as the caller sent it, but for the headers that concern one
+// connection and those that the instance sets itself.
+func (s *Server) write(c *conn, r *request, id string) error {
+	h := r.header.Clone()
+	h.Set(s.dialect.Expect, id)
+	h.Set(s.dialect.Deadline, strconv.FormatInt(max(1, time.Until(r.deadline).Milliseconds()), 10))
+	if _, ok := h["User-Agent"]; !ok {
+		h.Set("User-Agent", "") // or net/http adds its own
+	}
+	out := &http.Request{
+		Method: r.method, Host: r.host, Header: h,
+		URL: &url.URL{Scheme: "http", Host: r.host, Opaque: r.target},
+	}
+	if len(r.body) > 0 {
+		out.Body = io.NopCloser(bytes.NewReader(r.body))
+		out.ContentLength = int64(len(r.body))
+	}
+	return out.Write(c)
+}
+
+// readAnswer reads the answer to r, past answers to other requests, and keeps
+// or drops the connection.
+func (s *Server) readAnswer(ctx context.Context, p *pool, c *conn, r *request, t *try, written chan error) {
+	clean := true
+	for stray := 0; ; stray++ {
+		resp, err := readFinal(c, r)
+		if err != nil {
+			s.failed(ctx, c, r, t, err, written)
+			p.drop(c)
+			return
+		}
+		a, err := readWhole(resp)
+		if err != nil {
+			t.outcome, t.reason, t.err = outcomeUnknown, code.AnswerCutOff, err
+			p.drop(c)
+			return
+		}
+		if id := a.header.Get(s.dialect.RequestID); id != r.id && (id != "" || !s.notRun(a)) {
+			clean = false
+			if stray == maxStray {
+				t.outcome, t.reason, t.err = outcomeUnknown, code.AnswerCrossed, errForeign
+				p.drop(c)
+				return
+			}
+			continue
+		}
+		s.judge(a, t)
+		whole := sent(written)
+		if clean && whole && !resp.Close && t.outcome != outcomeUnknown && c.reader.Buffered() == 0 {
+			c.keepFor(a.header.Get("Keep-Alive"))
+			p.put(c, time.Now())
+		} else {
+			p.drop(c)
+		}
+		return
+	}
+}
+
+// sent reports whether the whole request was written. A body that is still on
+// its way ends with its connection.
+func sent(written chan error) bool {
+	timer := time.NewTimer(writerPause)
+	defer timer.Stop()
+	select {
+	case err := <-written:
+		return err == nil
+	case <-timer.C:
+		return false
+	}
+}
+
+// readFinal reads the head of the next answer that is not informational.
+func readFinal(c *conn, r *request) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.method})
+		if err != nil || resp.StatusCode >= 200 {
+			return resp, err
+		}
+	}
+}
+
+func readWhole(resp *http.Response) (*answer, error) {
+	a := &answer{status: resp.StatusCode, header: resp.Header}
+	var err error
+	if n := resp.ContentLength; n >= 0 && n <= maxAnswerBytes {
+		a.body = make([]byte, n)
+		_, err = io.ReadFull(resp.Body, a.body)
+		return a, err
+	}
+	a.body, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err == nil && len(a.body) > maxAnswerBytes {
+		err = errTooLong
+	}
+	return a, err
+}
+
+func (s *Server) notRun(a *answer) bool {
+	return a.header.Get(s.dialect.NotRun) != "" || a.status == http.StatusMisdirectedRequest
+}
+
+// judge finds the outcome of a whole answer to the request.
+func (s *Server) judge(a *answer, t *try) {
+	t.answer = a
+	if v := a.header.Get(s.dialect.Load); v != "" {
+		t.report = s.dialect.ParseLoad(v)
+	}
+	success := a.status >= 200 && a.status < 300
+	switch {
+	case s.notRun(a):
+		t.outcome, t.reason = outcomeNotRun, code.RefusedByBackend
+	case success && a.header.Get(s.dialect.Signature) == "":
+		t.outcome, t.reason, t.err = outcomeUnknown, code.AnswerCrossed, errUnsigned
+	case success && a.header.Get("Content-Encoding") != "":
+		t.outcome, t.reason, t.err = outcomeUnknown, code.AnswerCrossed, errEncoded
+	default:
+		t.outcome, t.reason = outcomeDone, code.OK
+	}
+}
+
+// failed finds the outcome of a request whose answer could not be read.
+func (s *Server) failed(ctx context.Context, c *conn, r *request, t *try, err error, written chan error) {
+	t.err = err
+	_ = c.SetDeadline(aLongTimeAgo) // so that a body still being written ends
+	werr := <-written
+	switch {
+	case c.written == 0 && werr != nil:
+		t.outcome, t.reason = unsentOrLeft(ctx), code.BackendUnreachable
+	case r.idempotent && ctx.Err() != nil:
+		t.outcome, t.reason = outcomeCancelled, code.CancelledRunning
+	case broken(err):
+		t.outcome, t.reason, t.crash = outcomeUnknown, code.BackendReset, true
+	case !time.Now().Before(r.deadline):
+		t.outcome, t.reason = outcomeUnknown, code.BackendTimeout
+	default:
+		t.outcome, t.reason = outcomeUnknown, code.BackendReset
+	}
+}
--- /dev/null
+++ b/router/direct/lines.go
@@ -0,0 +1,89 @@
+package direct
+
+import "time"
+
+// sampledSuccess is the share of plain successes that get a line: one in it.
+const sampledSuccess = 256
+
+// logTry writes a line for a try that did not bring a success.
+func (s *Server) logTry(r *request, p *progress, b *backend, t try) {
+	if t.outcome == outcomeDone && t.answer.status < 500 {
+		return
+	}
+	event := "try-" + t.outcome.String()
+	if !s.log.Allowed(event) {
+		return
+	}
+	info := b.info.Load()
+	status := 0
+	if t.answer != nil {
+		status = t.answer.status
+	}
+	reason := ""
+	if t.err != nil {
+		reason = t.err.Error()
+	}
+	now := time.Now()
+	v := b.view(now)
+	s.log.Event(event, "request", r.id, "route", p.route.Name, "service", p.service,
+		"server", info.ID, "address", info.Address, "code", int(t.reason), "status", status, "reason", reason,
+		"took-ms", t.took.Milliseconds(), "left-ms", r.deadline.Sub(now).Milliseconds(), "reused", t.reused,
+		"server-load", v.load, "server-slots", v.slots, "server-failing", v.failing, "budget-left", s.budget.left(p.service, now))
+}
+
+// finished counts the end of a request, and writes a line unless it is a plain
+// success that is not sampled.
+func (s *Server) finished(r *request, p *progress, status int, f *refusal) {
+	took := time.Since(p.began)
+	s.metrics.answered(p.service, status, f, took)
+	if f == nil && status < 500 && p.sends <= 1 && (len(r.id) == 0 || !sampled(r.id)) {
+		return
+	}
+	event := "answered"
+	if f != nil {
+		event = "refused-" + f.code.String()
+	}
+	if !s.log.Allowed(event) {
+		return
+	}
+	route, version := "", uint64(0)
+	if p.route != nil {
+		route = p.route.Name
+	}
+	if t := s.table.Load(); t != nil {
+		version = t.Version
+	}
+	attributes := []any{
+		"request", r.id, "route", route, "service", p.service, "config-version", version, "status", status,
+		"tries", p.sends, "unsent", p.unsent, "took-ms", took.Milliseconds(), "left-ms", time.Until(r.deadline).Milliseconds(),
+	}
+	if f != nil {
+		attributes = append(attributes, "code", int(f.code), "outcome", f.code.Outcome().String(), "come-back-ms", f.comeIn.Milliseconds())
+	}
+	if key, ok := s.key(r, p.service); ok {
+		attributes = append(attributes, s.ownerAttributes(p.service, key)...)
+	}
+	s.log.Event(event, attributes...)
+}
+
+// ownerAttributes tells what is believed of a key and how old the belief is.
+func (s *Server) ownerAttributes(service string, key uint32) []any {
+	o, ok := (*s.owned.Load())[service]
+	if !ok {
+		return []any{"key", key, "owner", "", "ownership-version", 0}
+	}
+	row, _ := o.book.Lookup(key)
+	return []any{
+		"key", key, "owner", row.Owner.ID, "moving", row.Moving, "fence", row.Fence,
+		"ownership-version", o.book.Version, "ownership-age-ms", time.Since(o.read).Milliseconds(),
+	}
+}
+
+// sampled picks requests by their ID, so that all instances pick the same.
+func sampled(id string) bool {
+	h := 0
+	for i := range len(id) {
+		h = h*31 + int(id[i])
+	}
+	return h%sampledSuccess == 0
+}
--- /dev/null
+++ b/router/direct/server.go
@@ -0,0 +1,426 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bronzewind.example/core/code"
+	"bronzewind.example/core/oplog"
+	"bronzewind.example/core/ownership"
+)
+
+const (
+	maxUnsent = 3 // servers that may refuse a connection before a request is given up
+
+	// readyReturn is when a caller of an instance without a configuration may
+	// come back.
+	readyReturn = 200 * time.Millisecond
+
+	leastDeadline   = time.Millisecond
+	defaultDeadline = 10 * time.Second // of a caller that names none
+)
+
+type (
+	// Server is the entry of one instance. It is an http.Handler.
+	Server struct {
+		dialect   Dialect
+		log       *oplog.Log
+		metrics   *Metrics
+		budget    *budget
+		splits    *splitter
+		suspects  *suspects
+		usual     *usualTimes
+		demand    *demand
+		tellCrash func(Fingerprint)
+
+		table     atomic.Pointer[Table]
+		fleet     atomic.Pointer[fleet]
+		owned     atomic.Pointer[map[string]*owned] // by service
+		instances atomic.Int64
+		moving    atomic.Bool // callers are asked to close their connections
+		probes    sync.WaitGroup
+
+		mu      sync.Mutex
+		changed chan struct{} // closed at each change of a snapshot; guarded by mu
+	}
+
+	// Option changes a Server at its construction.
+	Option func(*Server)
+
+	// refusal is an answer of the instance's own.
+	refusal struct {
+		code   code.Code
+		comeIn time.Duration // when the caller may come back; 0 says nothing
+	}
+
+	// progress is what was tried for one request.
+	progress struct {
+		began   time.Time
+		route   *Route
+		service string
+		tried   []*backend
+		sends   int
+		unsent  int
+		unknown *refusal // of a try that may have run
+		answer  *answer  // a failure that the server gave
+		last    try
+	}
+)
+
+// WithBudget bounds what is sent once more.
+func WithBudget(l BudgetLimits) Option { return func(s *Server) { s.budget = newBudget(l) } }
+
+// WithCrashes sets who is told of requests that took a server down.
+func WithCrashes(tell func(Fingerprint)) Option { return func(s *Server) { s.tellCrash = tell } }
+
+// NewServer returns an entry that refuses everything until SetTable.
+func NewServer(d Dialect, log *oplog.Log, options ...Option) *Server {
+	s := &Server{
+		dialect: d, log: log, metrics: newMetrics(), splits: newSplitter(), suspects: newSuspects(),
+		usual: newUsualTimes(), demand: newDemand(), tellCrash: func(Fingerprint) {},
+		budget:  newBudget(BudgetLimits{Ratio: 0.1, Slack: 10, Window: 10 * time.Second}),
+		changed: make(chan struct{}),
+	}
+	s.fleet.Store(&fleet{services: map[string][]*backend{}, lives: map[ownership.Life]*member{}})
+	s.owned.Store(&map[string]*owned{})
+	s.instances.Store(1)
+	for _, o := range options {
+		o(s)
+	}
+	return s
+}
+
+// AskToMove tells callers from now on to close their connections.
+func (s *Server) AskToMove() { s.moving.Store(true) }
+
+// Crashed counts a crash that another instance saw.
+func (s *Server) Crashed(f Fingerprint) { s.suspects.crashed(f, time.Now()) }
+
+// Wait returns once nothing that the server started runs any more.
+func (s *Server) Wait() { s.probes.Wait() }
+
+func refuse(c code.Code, wait, left time.Duration) *refusal {
+	return &refusal{code: c, comeIn: comeBack(wait, left)}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	began := time.Now()
+	if s.moving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	r, route, f := s.read(hr, began)
+	p := &progress{began: began, route: route}
+	if f == nil {
+		p.service = s.splits.next(route).Service
+		var a *answer
+		if a, f = s.serve(hr, r, p); a != nil {
+			s.relay(w, a)
+			s.finished(r, p, a.status, nil)
+			return
+		}
+	}
+	if f.code == code.CancelledInQueue || f.code == code.CancelledRunning {
+		s.finished(r, p, 0, f)
+		return
+	}
+	s.finished(r, p, s.reply(w, r, f), f)
+}
+
+// read takes the whole request and finds its route.
+func (s *Server) read(hr *http.Request, now time.Time) (*request, *Route, *refusal) {
+	r := &request{
+		id: hr.Header.Get(s.dialect.RequestID), method: hr.Method, target: hr.RequestURI, host: hr.Host,
+		header: hr.Header, deadline: now.Add(defaultDeadline),
+	}
+	t := s.table.Load()
+	if t == nil {
+		return r, nil, &refusal{code: code.NotReady, comeIn: readyReturn}
+	}
+	route, ok := t.Route(hr.Host, hr.URL.Path)
+	if !ok {
+		return r, nil, &refusal{code: code.NoService}
+	}
+	if ms, err := strconv.ParseInt(hr.Header.Get(s.dialect.Deadline), 10, 64); err == nil {
+		r.deadline = now.Add(max(leastDeadline, time.Duration(ms)*time.Millisecond))
+	}
+	if route.Timeout > 0 && now.Add(route.Timeout).Before(r.deadline) {
+		r.deadline = now.Add(route.Timeout)
+	}
+	r.idempotent = route.Idempotent
+	removeHopHeaders(r.header)
+	if hr.Body == nil || hr.Body == http.NoBody {
+		return r, route, nil
+	}
+	f := r.readBody(hr, t.Limits.BodyBytes)
+	return r, route, f
+}
+
+// readBody takes the body whole, so that nothing has run while it still arrives.
+func (r *request) readBody(hr *http.Request, limit int64) *refusal {
+	if limit > 0 && hr.ContentLength > limit {
+		return &refusal{code: code.BodyTooLarge}
+	}
+	var err error
+	if n := hr.ContentLength; n > 0 {
+		r.body = make([]byte, n)
+		_, err = io.ReadFull(hr.Body, r.body)
+	} else {
+		var in io.Reader = hr.Body
+		if limit > 0 {
+			in = io.LimitReader(in, limit+1)
+		}
+		r.body, err = io.ReadAll(in)
+	}
+	switch {
+	case err != nil:
+		return &refusal{code: code.CancelledInQueue}
+	case limit > 0 && int64(len(r.body)) > limit:
+		return &refusal{code: code.BodyTooLarge}
+	default:
+		return nil
+	}
+}
+
+// serve tries until there is an answer, or nothing more may be tried.
+func (s *Server) serve(hr *http.Request, r *request, p *progress) (*answer, *refusal) {
+	ctx := hr.Context()
+	caller, _, _ := net.SplitHostPort(hr.RemoteAddr)
+	print := fingerprint(r.method, r.target, caller, r.body)
+	if s.suspects.blocked(print, p.began) {
+		return nil, &refusal{code: code.Quarantined}
+	}
+	s.budget.request(p.service, p.began)
+	for {
+		b, f := s.choose(ctx, r, p)
+		if f != nil {
+			return p.conclude(f)
+		}
+		t := s.try(ctx, b, r, p)
+		if t.crash {
+			s.checkCrash(b, print)
+		}
+		if a, f := s.settle(r, p, t); a != nil || f != nil {
+			return a, f
+		}
+	}
+}
+
+// choose returns the server that is to run r next, or why none is.
+func (s *Server) choose(ctx context.Context, r *request, p *progress) (*backend, *refusal) {
+	now := time.Now()
+	left := r.deadline.Sub(now)
+	if left <= 0 {
+		return nil, refuse(code.DeadlineBeforeStart, 0, 0)
+	}
+	w := work{usual: s.usual.of(p.route), bytes: int64(len(r.body)), bulk: p.route.Bulk}
+	toTarget := p.route.Target - now.Sub(p.began)
+	var c *candidate
+	if key, ok := s.key(r, p.service); ok {
+		s.demand.count(p.service, key)
+		b, f := s.awaitOwner(ctx, r, p.service, key)
+		if f != nil {
+			return nil, f
+		}
+		now = time.Now()
+		left, toTarget = r.deadline.Sub(now), p.route.Target-now.Sub(p.began)
+		v := b.view(now)
+		c = &v
+	} else {
+		c = s.nearest(w, toTarget, p, now)
+	}
+	if c == nil {
+		return nil, refuse(code.BackendUnreachable, minReturn, left)
+	}
+	if c.out && c.backend != nil && p.unsent > 0 {
+		return nil, refuse(code.BackendUnreachable, refusedPause, left)
+	}
+	if a := admit(c, w, toTarget, left); !a.send {
+		return nil, &refusal{code: code.TargetUnreachable, comeIn: a.comeIn}
+	}
+	return c.backend, nil
+}
+
+// key returns the key of r where service has exclusive owners.
+func (s *Server) key(r *request, service string) (uint32, bool) {
+	t := s.table.Load()
+	if t == nil || !t.Services[service].Exclusive {
+		return 0, false
+	}
+	key, err := strconv.ParseUint(r.header.Get(s.dialect.Key), 10, 32)
+	if err != nil || key >= ownership.KeyCount {
+		return 0, false
+	}
+	return uint32(key), true
+}
+
+// nearest places r on a server of a service without owners.
+func (s *Server) nearest(w work, toTarget time.Duration, p *progress, now time.Time) *candidate {
+	servers := s.fleet.Load().services[p.service]
+	cs := make([]candidate, 0, len(servers))
+	for _, b := range servers {
+		cs = append(cs, b.view(now))
+	}
+	if c := place(cs, w, toTarget, p.tried); c != nil {
+		return c
+	}
+	for i := range cs {
+		cs[i].out = false
+	}
+	if c := place(cs, w, toTarget, p.tried); c != nil {
+		return c
+	}
+	w.bulk = false
+	return place(cs, w, toTarget, p.tried)
+}
+
+// try sends r to b and takes in what that shows of b.
+func (s *Server) try(ctx context.Context, b *backend, r *request, p *progress) try {
+	b.begin(time.Now())
+	t := s.exchange(ctx, b, r)
+	now := time.Now()
+	e := seen{outcome: t.outcome, took: t.took, usual: s.usual.of(p.route), report: t.report}
+	if t.answer != nil {
+		e.status = t.answer.status
+	}
+	slow := b.end(e, t.dialled, now)
+	if t.outcome == outcomeDone && e.status < 500 && t.report.Valid && t.report.Waiting == 0 {
+		s.usual.observe(p.route, time.Duration(float64(t.took)/slow))
+	}
+	s.metrics.tried(p.service, t)
+	p.last = t
+	p.tried = append(p.tried, b)
+	if t.outcome == outcomeUnsent {
+		p.unsent++
+	} else {
+		p.sends++
+	}
+	s.logTry(r, p, b, t)
+	return t
+}
+
+// settle ends r or lets it be tried again.
+func (s *Server) settle(r *request, p *progress, t try) (*answer, *refusal) {
+	now := time.Now()
+	left := r.deadline.Sub(now)
+	switch t.outcome {
+	case outcomeDone:
+		if t.answer.status < 500 || !r.idempotent {
+			return t.answer, nil
+		}
+		p.answer = t.answer
+		if !s.mayRepeat(p, now, left) {
+			return t.answer, nil
+		}
+	case outcomeCancelled:
+		return nil, &refusal{code: code.CancelledRunning}
+	case outcomeUnsent:
+		if p.unsent >= maxUnsent || left <= 0 {
+			return p.conclude(refuse(code.BackendUnreachable, refusedPause, left))
+		}
+	case outcomeNotRun:
+		if !s.mayRepeat(p, now, left) {
+			return p.conclude(refuse(code.RefusedByBackend, s.usual.of(p.route)/2, left))
+		}
+	case outcomeUnknown:
+		f := &refusal{code: t.reason}
+		if !r.idempotent {
+			return nil, f
+		}
+		p.unknown = f
+		if !s.mayRepeat(p, now, left) {
+			return p.conclude(f)
+		}
+	}
+	return nil, nil
+}
+
+// mayRepeat takes a repeat from the budget when one is worth trying.
+func (s *Server) mayRepeat(p *progress, now time.Time, left time.Duration) bool {
+	return p.sends < p.route.Attempts && left > s.usual.of(p.route) && s.budget.spend(p.service, now)
+}
+
+// conclude returns what the caller is told when nothing more is tried. A request
+// that may have run is never said not to have run.
+func (p *progress) conclude(f *refusal) (*answer, *refusal) {
+	switch {
+	case f.code == code.CancelledInQueue || f.code == code.CancelledRunning:
+		return nil, f
+	case p.answer != nil:
+		return p.answer, nil
+	case p.unknown != nil:
+		return nil, p.unknown
+	default:
+		return nil, f
+	}
+}
+
+// checkCrash finds out whether the server went down, and counts that against
+// the request that it was running.
+func (s *Server) checkCrash(b *backend, print Fingerprint) {
+	s.probes.Go(func() {
+		info := b.info.Load()
+		if b.pool.alive(context.Background(), info.Address, s.connections(info.Service)) {
+			return
+		}
+		n := s.suspects.crashed(print, time.Now())
+		s.tellCrash(print)
+		s.log.Limited("server-crashed", "server", info.ID, "service", info.Service, "fingerprint", uint64(print), "crashes", n)
+	})
+}
+
+// reply writes an answer of the instance's own and returns its status.
+func (s *Server) reply(w http.ResponseWriter, r *request, f *refusal) int {
+	status := f.code.Status()
+	if f.code.Outcome() == code.NotRun && status >= 500 || f.code == code.Quarantined {
+		status = http.StatusServiceUnavailable
+	}
+	h := w.Header()
+	if r.id != "" {
+		h.Set(s.dialect.RequestID, r.id)
+	}
+	h.Set(code.Header, strconv.Itoa(int(f.code)))
+	h.Set("Content-Length", "0")
+	if f.comeIn > 0 && status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", strconv.FormatFloat(f.comeIn.Seconds(), 'f', 3, 64))
+	}
+	w.WriteHeader(status)
+	return status
+}
+
+// relay passes on a whole answer.
+func (s *Server) relay(w http.ResponseWriter, a *answer) {
+	h := w.Header()
+	moving := h.Get("Connection")
+	removeHopHeaders(a.header)
+	for name, values := range a.header {
+		h[name] = values
+	}
+	if moving != "" {
+		h.Set("Connection", moving)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	w.WriteHeader(a.status)
+	if _, err := w.Write(a.body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		s.metrics.undelivered.Add(1)
+	}
+}
+
+// hopHeaders are meant for one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+func removeHopHeaders(h http.Header) {
+	for _, name := range hopHeaders {
+		delete(h, name)
+	}
+}
