--- a/core/ownership/act.go
+++ b/core/ownership/act.go
@@ -57,18 +57,19 @@
 // moveOf returns the progress of a moving row. A row whose move this granter
 // did not start may have been granted to anyone that it names.
 func (g *Granter) moveOf(s *service, r Row) *move {
-	if m, ok := s.moves[r.key()]; ok {
+	if m, ok := s.moves[r.Move()]; ok {
 		return m
 	}
 	m := &move{}
 	for _, h := range r.Earlier {
 		m.leaving = append(m.leaving, g.newVacating(s, h))
 	}
-	s.moves[r.key()] = m
+	s.moves[r.Move()] = m
 	return m
 }
 
-func (r Row) key() MoveKey { return MoveKey{Fence: r.Fence, Keys: r.Range} }
+// Move names the move of a moving row.
+func (r Row) Move() MoveKey { return MoveKey{Fence: r.Fence, Keys: r.Range} }
 
 func (g *Granter) newVacating(s *service, h Hold) *vacating {
 	v := s.server(h.Life)
@@ -109,7 +110,7 @@
 	}
 	v.asking, v.asked = true, now
 	v.unanswered = from.unanswered
-	return []Effect{SendRelease{Service: s.name, Server: from.Server, Range: r.Range, Fence: v.hold.Fence, Move: r.key()}}
+	return []Effect{SendRelease{Service: s.name, Server: from.Server, Range: r.Range, Fence: v.hold.Fence, Move: r.Move()}}
 }
 
 func (g *Granter) grant(s *service, to *server, r Row, handover string, now time.Time) SendGrant {
@@ -151,7 +152,7 @@
 }
 
 func (s *service) grantedTo(r Row) bool {
-	m, ok := s.moves[r.key()]
+	m, ok := s.moves[r.Move()]
 	return ok && m.granted
 }
 
--- a/core/ownership/book.go
+++ b/core/ownership/book.go
@@ -17,41 +17,41 @@
 type (
 	// Range is a part of a key space, both ends included.
 	Range struct {
-		From uint32 `cbor:"1,keyasint"` // at most To
-		To   uint32 `cbor:"2,keyasint"` // below KeyCount
+		From uint32 // at most To
+		To   uint32 // below KeyCount
 	}
 
 	// Life is one start of a backend server. A server that starts again holds
 	// nothing of what its former life held.
 	Life struct {
-		ID   string `cbor:"1,keyasint"`
-		Born int64  `cbor:"2,keyasint"` // Unix milliseconds
+		ID   string
+		Born int64 // Unix milliseconds
 	}
 
 	// Hold is a life with the fence under which it was granted a range.
 	Hold struct {
-		Life  Life   `cbor:"1,keyasint"`
-		Fence uint64 `cbor:"2,keyasint"`
+		Life  Life
+		Fence uint64
 	}
 
 	// Row says who holds a range, or is to hold it once the earlier holders
 	// surely hold it no longer.
 	Row struct {
 		Range
-		Owner   Life   `cbor:"3,keyasint"`
-		Fence   uint64 `cbor:"4,keyasint"`           // above all fences under which other lives had a key of the range
-		Moving  bool   `cbor:"5,keyasint,omitempty"` // the owner may not have been granted the range yet
-		Earlier []Hold `cbor:"6,keyasint,omitempty"` // lives that may still hold a key of the range; only while Moving
-		Waits   int64  `cbor:"7,keyasint,omitempty"` // milliseconds from the writing of the row until the owner will surely be granted it; 0 means at once
+		Owner   Life
+		Fence   uint64 // above all fences under which other lives had a key of the range
+		Moving  bool   // the owner may not have been granted the range yet
+		Earlier []Hold // lives that may still hold a key of the range; only while Moving
+		Waits   int64  // milliseconds from the writing of the row until the owner will surely be granted it; 0 means at once
 	}
 
 	// Book is the ownership of one service. It is immutable once written.
 	Book struct {
-		Service string `cbor:"1,keyasint"`
-		Version uint64 `cbor:"2,keyasint"` // grows with each write
-		Epoch   uint64 `cbor:"3,keyasint"` // of the granter that wrote it
-		Fence   uint64 `cbor:"4,keyasint"` // highest fence given out
-		Rows    []Row  `cbor:"5,keyasint"` // in order of keys, without overlap
+		Service string
+		Version uint64 // grows with each write
+		Epoch   uint64 // of the granter that wrote it
+		Fence   uint64 // highest fence given out
+		Rows    []Row  // in order of keys, without overlap
 	}
 )
 
--- a/core/ownership/granter.go
+++ b/core/ownership/granter.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"maps"
 	"time"
 )
 
@@ -115,6 +116,14 @@
 		Move    MoveKey // that the release is for
 	}
 
+	// Granted says that the owner of a row has taken its grant, ahead of the book
+	// that will say so.
+	Granted struct {
+		Service string
+		Range   Range
+		Fence   uint64
+	}
+
 	// Decided asks for a log line on a change of what the granter believes.
 	Decided struct {
 		Service string
@@ -169,7 +178,9 @@
 		handover string
 		granting bool
 		granted  bool
-		tried    time.Time
+		// grantedAt is when the owner took the grant.
+		grantedAt time.Time
+		tried     time.Time
 	}
 
 	// MoveKey names a move; no two moves have the same fence and range.
@@ -212,6 +223,10 @@
 	// keys go elsewhere.
 	silenceLimit = 400 * time.Millisecond
 
+	// finishDelay is how long a granted move may wait for others to be written
+	// down with it.
+	finishDelay = 400 * time.Millisecond
+
 	// arrivalMargin is added to each bound on another machine's clock.
 	arrivalMargin = 100 * time.Millisecond
 )
@@ -231,6 +246,7 @@
 func (WriteBook) effect()   {}
 func (SendGrant) effect()   {}
 func (SendRelease) effect() {}
+func (Granted) effect()     {}
 func (Decided) effect()     {}
 
 // NewGranter returns a granter without an epoch.
@@ -280,7 +296,10 @@
 	case BookWritten:
 		g.written(e)
 	case GrantAnswered:
-		g.grantAnswered(e, now)
+		if g.grantAnswered(e, now) && g.MaySend(now) {
+			granted := Granted{Service: e.Grant.Service, Range: e.Grant.Range, Fence: e.Grant.Fence}
+			return append([]Effect{granted}, g.act(now)...)
+		}
 	case ReleaseAnswered:
 		g.releaseAnswered(e)
 	case Ticked:
@@ -411,10 +430,23 @@
 	s.writing = false
 	if !e.Failed {
 		s.book = s.wanted
+		s.forgetMoves()
 	}
 }
 
-func (g *Granter) grantAnswered(e GrantAnswered, now time.Time) {
+// forgetMoves drops the progress of moves that the book has no longer.
+func (s *service) forgetMoves() {
+	moving := map[MoveKey]bool{}
+	for _, r := range s.book.Rows {
+		if r.Moving {
+			moving[r.Move()] = true
+		}
+	}
+	maps.DeleteFunc(s.moves, func(k MoveKey, _ *move) bool { return !moving[k] })
+}
+
+// grantAnswered returns whether the grant has ended a move.
+func (g *Granter) grantAnswered(e GrantAnswered, now time.Time) bool {
 	s := g.service(e.Grant.Service)
 	v := s.server(e.Grant.Server.Life)
 	v.inFlight = max(0, v.inFlight-1)
@@ -433,8 +465,12 @@
 	}
 	if m, ok := s.moves[MoveKey{e.Grant.Fence, e.Grant.Range}]; ok && m.granting {
 		m.granting = false
-		m.granted = e.Result == Done
+		if m.granted = e.Result == Done; m.granted {
+			m.grantedAt = now
+			return true
+		}
 	}
+	return false
 }
 
 // raiseFence makes the next fences pass what a server has seen.
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -109,14 +109,22 @@
 	return p.next - 1
 }
 
-// finish ends the moves whose owner has taken its grant.
+// finish ends the moves whose owner has taken its grant. The entries were told
+// of each, so the book can wait until more than one can be written down.
 func (p *planner) finish() {
+	due := false
+	for _, r := range p.rows {
+		m, ok := p.service.moves[r.Move()]
+		due = due || r.Moving && ok && m.granted && p.now.Sub(m.grantedAt) >= finishDelay
+	}
+	if !due {
+		return
+	}
 	for i, r := range p.rows {
-		m, ok := p.service.moves[r.key()]
+		m, ok := p.service.moves[r.Move()]
 		if !r.Moving || !ok || !m.granted {
 			continue
 		}
-		delete(p.service.moves, r.key())
 		p.rows[i].Moving, p.rows[i].Earlier, p.rows[i].Waits = false, nil, 0
 		p.changed = true
 		p.decided("granted", r, 0)
@@ -187,7 +195,7 @@
 		next.Earlier = append(next.Earlier, v.hold)
 		next.Waits = max(next.Waits, p.waitFor(v))
 	}
-	p.service.moves[next.key()] = m
+	p.service.moves[next.Move()] = m
 	p.changed = true
 	if old := p.target(r.Owner); old != nil {
 		old.weight -= p.service.demand.weight(keys)
@@ -225,7 +233,7 @@
 		for _, part := range p.split(gap, n) {
 			t := p.lightest()
 			row := Row{Range: part, Owner: t.Life, Fence: p.fence(), Moving: true}
-			p.service.moves[row.key()] = &move{}
+			p.service.moves[row.Move()] = &move{}
 			t.weight += p.service.demand.weight(part)
 			p.rows = append(p.rows, row)
 			p.changed = true
--- a/router/datagram/datagram.go
+++ b/router/datagram/datagram.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	maxBytes = 8 << 10
+	maxBytes = 16 << 10
 	maxBusy  = 64
 )
 
@@ -23,10 +23,35 @@
 	// Message is what one instance tells another; fields that are empty say
 	// nothing.
 	Message struct {
-		From   string        `cbor:"1,keyasint"`
-		Demand []Demand      `cbor:"2,keyasint,omitempty"`
-		Crash  uint64        `cbor:"3,keyasint,omitempty"` // fingerprint of a request
-		Speeds []ServerSpeed `cbor:"4,keyasint,omitempty"`
+		From    string   `cbor:"1,keyasint"`
+		Demand  []Demand `cbor:"2,keyasint,omitempty"`
+		Crash   uint64   `cbor:"3,keyasint,omitempty"` // fingerprint of a request
+		Ends    []End    `cbor:"4,keyasint,omitempty"`
+		Records []Record `cbor:"5,keyasint,omitempty"`
+		Granted *Granted `cbor:"6,keyasint,omitempty"`
+	}
+
+	// End says how far a topic of the store goes, as the sender knows it.
+	End struct {
+		Topic string `cbor:"1,keyasint"`
+		End   uint64 `cbor:"2,keyasint"` // offset after the last record
+		AgeMs int64  `cbor:"3,keyasint"` // since the store said so
+	}
+
+	// Record is one record of a topic.
+	Record struct {
+		Topic  string `cbor:"1,keyasint"`
+		Offset uint64 `cbor:"2,keyasint"`
+		Key    string `cbor:"3,keyasint"`
+		Value  []byte `cbor:"4,keyasint"`
+	}
+
+	// Granted says that the owner of a range has taken its grant.
+	Granted struct {
+		Service string `cbor:"1,keyasint"`
+		From    uint32 `cbor:"2,keyasint"`
+		To      uint32 `cbor:"3,keyasint"`
+		Fence   uint64 `cbor:"4,keyasint"`
 	}
 
 	// Demand is the demand for the keys of one service at one instance, in tenths
@@ -38,12 +63,6 @@
 		Rates   []uint32          `cbor:"4,keyasint"` // of Keys
 	}
 
-	// ServerSpeed is how fast an instance found a server against the usual.
-	ServerSpeed struct {
-		ID    string  `cbor:"1,keyasint"`
-		Speed float32 `cbor:"2,keyasint"`
-	}
-
 	// Bus sends and receives messages at one UDP address.
 	Bus struct {
 		conn *net.UDPConn
@@ -64,11 +83,10 @@
 }
 
 // Send sends m to address; it may be lost all the same.
-func (b *Bus) Send(address string, m Message) error {
-	a, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return fmt.Errorf("datagram: %w", err)
-	}
+func (b *Bus) Send(address string, m Message) error { return b.SendAll([]string{address}, m) }
+
+// SendAll sends m to all addresses; each one may lose it.
+func (b *Bus) SendAll(addresses []string, m Message) error {
 	data, err := cbor.Marshal(m)
 	if err != nil {
 		return fmt.Errorf("datagram: %w", err)
@@ -76,8 +94,17 @@
 	if len(data) > maxBytes {
 		return fmt.Errorf("datagram: a message of %d bytes is too long", len(data))
 	}
-	_, err = b.conn.WriteToUDPAddrPort(data, a)
-	return err
+	var errs []error
+	for _, address := range addresses {
+		a, err := netip.ParseAddrPort(address)
+		if err == nil {
+			_, err = b.conn.WriteToUDPAddrPort(data, a)
+		}
+		if err != nil {
+			errs = append(errs, fmt.Errorf("datagram: %w", err))
+		}
+	}
+	return errors.Join(errs...)
 }
 
 // Run hands received messages to take until ctx ends; ones that can't be read
--- a/router/direct/fleet.go
+++ b/router/direct/fleet.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"maps"
 	"time"
 
 	"bronzewind.example/core/ownership"
@@ -32,8 +33,9 @@
 
 	// owned is the ownership of one service as this instance knows it.
 	owned struct {
-		book ownership.Book
-		read time.Time
+		book    ownership.Book
+		read    time.Time
+		granted map[ownership.MoveKey]bool // moves of the book that have ended
 	}
 )
 
@@ -105,16 +107,28 @@
 // SetBook replaces the ownership of a service.
 func (s *Server) SetBook(b ownership.Book, now time.Time) {
 	s.mu.Lock()
-	next := map[string]*owned{}
-	for name, o := range *s.owned.Load() {
-		next[name] = o
-	}
-	next[b.Service] = &owned{book: b, read: now}
+	next := maps.Clone(*s.owned.Load())
+	next[b.Service] = &owned{book: b, read: now, granted: map[ownership.MoveKey]bool{}}
 	s.owned.Store(&next)
 	s.mu.Unlock()
 	s.wake()
 }
 
+// SetGranted takes note of a move that has ended, ahead of the book that says
+// so. One that the book doesn't have says nothing.
+func (s *Server) SetGranted(g ownership.Granted) {
+	s.mu.Lock()
+	next := maps.Clone(*s.owned.Load())
+	if o, ok := next[g.Service]; ok {
+		granted := maps.Clone(o.granted)
+		granted[ownership.MoveKey{Fence: g.Fence, Keys: g.Range}] = true
+		next[g.Service] = &owned{book: o.book, read: o.read, granted: granted}
+		s.owned.Store(&next)
+	}
+	s.mu.Unlock()
+	s.wake()
+}
+
 // SetInstances tells how many instances share budgets and connections.
 func (s *Server) SetInstances(n int) {
 	s.instances.Store(int64(max(1, n)))
--- a/router/direct/owner.go
+++ b/router/direct/owner.go
@@ -27,7 +27,7 @@
 	if !ok {
 		return ownerView{}
 	}
-	if row.Moving {
+	if row.Moving && !o.granted[row.Move()] {
 		left := time.Duration(row.Waits)*time.Millisecond - now.Sub(o.read)
 		return ownerView{wait: max(0, left)}
 	}
--- a/router/granting/loop.go
+++ b/router/granting/loop.go
@@ -60,6 +60,7 @@
 		orders  Orders
 		clock   clock.Clock // counts suspensions
 		log     *oplog.Log
+		granted func(ownership.Granted)
 		granter *ownership.Granter // used by Run alone
 		events  chan ownership.Event
 		trusted atomic.Int64 // Unix nanoseconds of the clock until which orders may go out
@@ -82,10 +83,11 @@
 // ErrFenced means that another granter has a higher epoch.
 var ErrFenced = errors.New("another granter has a higher epoch")
 
-// NewLoop returns a loop that does not grant until SetAssigned.
-func NewLoop(t ownership.Timing, store Store, orders Orders, c clock.Clock, log *oplog.Log) *Loop {
+// NewLoop returns a loop that does not grant until SetAssigned. It calls granted
+// for each move that has ended, ahead of the book that says so.
+func NewLoop(t ownership.Timing, store Store, orders Orders, granted func(ownership.Granted), c clock.Clock, log *oplog.Log) *Loop {
 	return &Loop{
-		store: store, orders: orders, clock: c, log: log, granter: ownership.NewGranter(t),
+		store: store, orders: orders, granted: granted, clock: c, log: log, granter: ownership.NewGranter(t),
 		events: make(chan ownership.Event, eventBuffer), writes: make(chan write, eventBuffer),
 	}
 }
@@ -204,6 +206,8 @@
 		l.calls.Go(func() { l.grant(ctx, e) })
 	case ownership.SendRelease:
 		l.calls.Go(func() { l.release(ctx, e) })
+	case ownership.Granted:
+		l.granted(e)
 	case ownership.Decided:
 		l.log.Event("ownership-"+e.What, "service", e.Service, "from", e.Range.From, "to", e.Range.To,
 			"server", e.Life.ID, "born", e.Life.Born, "fence", e.Fence, "wait-ms", e.Wait.Milliseconds(), "epoch", l.epoch)
