--- a/core/ownership/balance.go
+++ b/core/ownership/balance.go
@@ -17,6 +17,7 @@
 		return
 	}
 	mean := p.mean()
+	p.promote(mean)
 	for range maxMoves {
 		if !p.relieve(mean) {
 			break
@@ -44,7 +45,7 @@
 		return cmp.Compare(a.weight/a.capacity, b.weight/b.capacity)
 	})
 	to := p.lightest()
-	if from.weight <= mean*from.capacity*(1+balanceBound) {
+	if p.idle(from) || from.weight <= mean*from.capacity*(1+balanceBound) {
 		return p.welcome(to, from, mean)
 	}
 	excess := from.weight - mean*from.capacity
@@ -52,14 +53,40 @@
 	return p.shift(from, to, min(excess, room))
 }
 
-// welcome gives a server far below the mean, such as a new one, a share of the
-// keys of the one with most.
+// idle reports whether t has so few of its slots busy that nothing needs to
+// move away from it. Without word on the work nothing is idle.
+func (p *planner) idle(t *target) bool {
+	if p.service.work <= 0 {
+		return false
+	}
+	return t.weight*p.service.work.Seconds()/t.capacity < idleUtilisation
+}
+
+// promote moves a key that asks more than its share of any server to the server
+// of the largest capacity, since a single key can't be divided. The rest of that
+// server's keys then go elsewhere.
+func (p *planner) promote(mean float64) {
+	best := slices.MaxFunc(p.targets, func(a, b *target) int { return cmp.Compare(a.capacity, b.capacity) })
+	for i, r := range p.rows {
+		from := p.target(r.Owner)
+		if r.Moving || r.Width() > 1 || from == nil || p.idle(from) {
+			continue
+		}
+		hot := p.service.demand.weight(r.Range) > mean*from.capacity
+		if hot && best.capacity > from.capacity*fasterServer {
+			p.rows[i] = p.reassign(r, r.Range, best)
+			return
+		}
+	}
+}
+
+// welcome gives a server without keys, such as a new one, a share of those of
+// the one with most.
 func (p *planner) welcome(to, from *target, mean float64) bool {
-	room := mean*to.capacity - to.weight
-	if room <= mean*to.capacity*(1-balanceBound) {
+	if slices.ContainsFunc(p.rows, func(r Row) bool { return r.Owner == to.Life }) {
 		return false
 	}
-	return p.shift(from, to, min(room, from.weight/2))
+	return p.shift(from, to, min(mean*to.capacity, from.weight/2))
 }
 
 // shift moves keys of about the given demand. A row of a single key that is too
--- a/core/ownership/granter.go
+++ b/core/ownership/granter.go
@@ -21,9 +21,8 @@
 		Address string
 		Zone    string
 		Slots   int
-		Leaving bool    // it gets no new work
-		Cold    bool    // it is slow after its start
-		Speed   float64 // of its work against the others of its service; 0 means 1
+		Leaving bool // it gets no new work
+		Cold    bool // it is slow after its start
 	}
 
 	// Event is what happened. The set of events is sealed.
@@ -63,10 +62,13 @@
 		Servers []Server
 	}
 
-	// DemandMeasured brings the demand for the keys of a service.
+	// DemandMeasured brings the demand for the keys of a service, and what its
+	// servers can do.
 	DemandMeasured struct {
-		Service string
-		Demand  Demand
+		Service  string
+		Demand   Demand
+		Work     time.Duration      // in a slot that a request takes on average; 0 when not known
+		Slowness map[string]float64 // by ID: time that work takes there against the average; above 0
 	}
 
 	// BookWritten tells how a WriteBook ended. One that failed was surely not
@@ -158,12 +160,14 @@
 		servers map[Life]*server
 		moves   map[MoveKey]*move // of the rows that are moving
 		demand  Demand
-		settled time.Time // no moves for balance before it
+		work    time.Duration // in a slot of an average server; 0 when not known
+		settled time.Time     // no moves for balance before it
 	}
 
 	// server is what the granter knows of one life.
 	server struct {
 		Server
+		slowness   float64   // of its work against the average; 0 when not known
 		gone       bool      // listed no longer
 		sent       time.Time // last grant that may have arrived
 		unanswered time.Time // last grant that may have arrived and was not answered
@@ -291,7 +295,7 @@
 	case ServersListed:
 		g.list(e, now)
 	case DemandMeasured:
-		g.service(e.Service).demand = e.Demand
+		g.service(e.Service).measured(e)
 		return nil
 	case BookWritten:
 		g.written(e)
@@ -391,6 +395,16 @@
 	return b
 }
 
+// measured takes what the entries saw.
+func (s *service) measured(e DemandMeasured) {
+	s.demand, s.work = e.Demand, e.Work
+	for _, v := range s.servers {
+		if slow, ok := e.Slowness[v.ID]; ok && slow > 0 {
+			v.slowness = slow
+		}
+	}
+}
+
 func (g *Granter) list(e ServersListed, now time.Time) {
 	s := g.service(e.Service)
 	if !s.listed && len(e.Servers) > 0 {
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -15,6 +15,14 @@
 	// share of the mean, before keys move away from it.
 	balanceBound = 0.3
 
+	// idleUtilisation is the share of a server's slots that may be busy without
+	// any need to move keys away from it.
+	idleUtilisation = 0.5
+
+	// fasterServer is how much more capacity a server must have for a single hot
+	// key to move to it.
+	fasterServer = 1.25
+
 	// maxMoves is the most ranges that one round of balance moves.
 	maxMoves = 8
 
@@ -85,8 +93,8 @@
 // capacity is what v can do in comparison with others of its service.
 func capacity(v *server) float64 {
 	out := float64(max(1, v.Slots))
-	if v.Speed > 0 {
-		out *= v.Speed
+	if v.slowness > 0 {
+		out /= v.slowness
 	}
 	if v.Cold {
 		out *= coldCapacity
--- a/router/datagram/datagram.go
+++ b/router/datagram/datagram.go
@@ -61,6 +61,9 @@
 		Buckets map[uint16]uint32 `cbor:"2,keyasint"` // those that are not 0
 		Keys    []uint32          `cbor:"3,keyasint"` // in order
 		Rates   []uint32          `cbor:"4,keyasint"` // of Keys
+
+		WorkMs   float32            `cbor:"5,keyasint,omitempty"` // in a slot that a request takes on average
+		Slowness map[string]float32 `cbor:"6,keyasint,omitempty"` // by server ID: time that work takes there against the average
 	}
 
 	// Bus sends and receives messages at one UDP address.
--- a/router/direct/demand.go
+++ b/router/direct/demand.go
@@ -13,6 +13,9 @@
 	maxBusyKeys   = 48
 	busyRate      = 3.0 // requests a second from which a key is counted by itself
 	maxCountedKey = 4096
+
+	// leastSamples of a server's speed make it worth telling.
+	leastSamples = 8
 )
 
 type (
@@ -40,19 +43,42 @@
 	}
 }
 
-// TakeDemand returns the demand that this instance saw since the last call.
-func (s *Server) TakeDemand(now time.Time) map[string]ownership.Demand {
+// KeyDemand is what this instance saw of a service with exclusive owners.
+type KeyDemand struct {
+	Demand   ownership.Demand
+	Work     time.Duration      // in a slot that a request takes on average
+	Slowness map[string]float64 // by server ID: time that work takes there against the average
+}
+
+// TakeDemand returns what this instance saw since the last call, by service.
+func (s *Server) TakeDemand(now time.Time) map[string]KeyDemand {
 	d := s.demand
 	d.mu.Lock()
 	rows, passed := d.rows, now.Sub(d.since).Seconds()
 	d.rows, d.since = map[string]map[uint32]int{}, now
 	d.mu.Unlock()
-	out := map[string]ownership.Demand{}
+	out := map[string]KeyDemand{}
 	if passed <= 0 {
 		return out
 	}
 	for service, keys := range rows {
-		out[service] = measured(keys, passed)
+		out[service] = KeyDemand{
+			Demand: measured(keys, passed), Work: s.usual.average(service), Slowness: s.slowness(service),
+		}
+	}
+	return out
+}
+
+// slowness returns what was seen of the speed of each server of service.
+func (s *Server) slowness(service string) map[string]float64 {
+	out := map[string]float64{}
+	for _, b := range s.fleet.Load().services[service] {
+		b.mu.Lock()
+		slow, seen := b.load.slow, b.load.samples
+		b.mu.Unlock()
+		if seen >= leastSamples {
+			out[b.info.Load().ID] = slow
+		}
 	}
 	return out
 }
--- a/router/direct/load.go
+++ b/router/direct/load.go
@@ -42,6 +42,7 @@
 		reported time.Time
 		slots    int     // as reported; 0 before
 		slow     float64 // time in a slot against the usual of the kind; 0 before the first sample
+		samples  int     // of slow
 		dialled  time.Duration
 	}
 )
@@ -69,6 +70,7 @@
 		l.slow = 1
 	}
 	l.slow += speedGain * (sample - l.slow)
+	l.samples++
 }
 
 // present returns the requests that run or wait at the server.
--- a/router/direct/server.go
+++ b/router/direct/server.go
@@ -292,7 +292,7 @@
 	}
 	slow := b.end(e, t.dialled, now)
 	if t.outcome == outcomeDone && e.status < 500 && t.report.Valid && t.report.Waiting == 0 {
-		s.usual.observe(p.route, time.Duration(float64(t.took)/slow))
+		s.usual.observe(p.route, p.service, time.Duration(float64(t.took)/slow))
 	}
 	s.metrics.tried(p.service, t)
 	p.last = t
--- a/router/direct/usual.go
+++ b/router/direct/usual.go
@@ -19,6 +19,7 @@
 	}
 
 	usualTime struct {
+		service string // of the last request
 		mean    time.Duration
 		samples int // up to usualGain; the first guess counts as one
 	}
@@ -34,10 +35,11 @@
 }
 
 // observe takes in one time in a slot of a server of average speed.
-func (u *usualTimes) observe(r *Route, d time.Duration) {
+func (u *usualTimes) observe(r *Route, service string, d time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	row := u.row(r)
+	row.service = service
 	row.samples = min(row.samples+1, usualGain)
 	row.mean = max(smallestWork, row.mean+(d-row.mean)/time.Duration(row.samples))
 }
@@ -52,3 +54,22 @@
 	}
 	return row
 }
+
+// average returns the time in a slot of the work that service did last; 0 when
+// nothing is known.
+func (u *usualTimes) average(service string) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var sum time.Duration
+	n := 0
+	for _, row := range u.rows {
+		if row.service == service {
+			sum += row.mean * time.Duration(row.samples)
+			n += row.samples
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / time.Duration(n)
+}
