--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The tasks of the project; `make` lists them.
-MODULES := core router operator lab
+MODULES := core router operator lab platform
 TOOLS   := $(CURDIR)/.bin
 
 .PHONY: help build test format lint vet race histories soak demo flood faults delay tour capacity
--- a/core/ownership/act.go
+++ b/core/ownership/act.go
@@ -105,7 +105,7 @@
 func (g *Granter) vacate(s *service, r Row, v *vacating, now time.Time) []Effect {
 	from := s.server(v.hold.Life)
 	done := v.released || v.asking || g.free(s, v, now)
-	if done || from.Address == "" || from.inFlight > 0 || now.Sub(v.asked) < releaseRetry {
+	if done || from.Address == "" || from.awaits(r.Range) || now.Sub(v.asked) < releaseRetry {
 		return nil
 	}
 	v.asking, v.asked = true, now
@@ -115,7 +115,7 @@
 
 func (g *Granter) grant(s *service, to *server, r Row, handover string, now time.Time) SendGrant {
 	to.sent = now
-	to.inFlight++
+	to.flying = append(to.flying, r.Range)
 	return SendGrant{
 		Service: s.name, Server: to.Server, Range: r.Range, Fence: r.Fence,
 		Hold: g.timing.Hold, Handover: handover,
@@ -127,14 +127,15 @@
 func (g *Granter) renew(s *service, now time.Time) []Effect {
 	var out []Effect
 	due := map[*server]bool{}
-	for _, r := range merge(s.book.Rows) {
+	rows := merge(s.book.Rows)
+	for _, r := range rows {
 		v := s.server(r.Owner)
 		if v.Address == "" || r.Moving && !s.grantedTo(r) {
 			continue
 		}
 		ready, looked := due[v]
 		if !looked {
-			ready = v.inFlight == 0 && now.Sub(v.renewed) >= g.timing.Renewal
+			ready = len(v.flying) < maxFlying*len(rows) && now.Sub(v.renewed) >= g.timing.Renewal
 			due[v] = ready
 			if ready {
 				v.renewed = now
--- a/core/ownership/granter.go
+++ b/core/ownership/granter.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -171,7 +172,7 @@
 		gone       bool      // listed no longer
 		sent       time.Time // last grant that may have arrived
 		unanswered time.Time // last grant that may have arrived and was not answered
-		inFlight   int       // grants
+		flying     []Range   // of the grants that were not answered yet
 		renewed    time.Time // last time that renewals were sent
 		failing    time.Time // since when no grant was answered; zero while they are
 	}
@@ -219,6 +220,10 @@
 	releaseRetry = 500 * time.Millisecond
 	grantRetry   = 250 * time.Millisecond
 
+	// maxFlying is the most grants to one server that may be on their way, for
+	// each of its ranges.
+	maxFlying = 3
+
 	// firstWait is how long the first assignment waits for more servers to be
 	// listed.
 	firstWait = 1500 * time.Millisecond
@@ -372,7 +377,7 @@
 		s.writing = false
 		s.moves = map[MoveKey]*move{}
 		for _, v := range s.servers {
-			v.inFlight, v.renewed, v.failing = 0, time.Time{}, time.Time{}
+			v.flying, v.renewed, v.failing = nil, time.Time{}, time.Time{}
 		}
 	}
 }
@@ -463,7 +468,7 @@
 func (g *Granter) grantAnswered(e GrantAnswered, now time.Time) bool {
 	s := g.service(e.Grant.Service)
 	v := s.server(e.Grant.Server.Life)
-	v.inFlight = max(0, v.inFlight-1)
+	v.landed(e.Grant.Range)
 	switch e.Result {
 	case Done:
 		v.failing = time.Time{}
@@ -487,6 +492,18 @@
 	return false
 }
 
+// landed takes one grant of r out of those that are on their way.
+func (v *server) landed(r Range) {
+	if i := slices.Index(v.flying, r); i >= 0 {
+		v.flying = slices.Delete(v.flying, i, i+1)
+	}
+}
+
+// awaits reports whether a grant of keys in r is on its way.
+func (v *server) awaits(r Range) bool {
+	return slices.ContainsFunc(v.flying, func(f Range) bool { return f.From <= r.To && r.From <= f.To })
+}
+
 // raiseFence makes the next fences pass what a server has seen.
 func (s *service) raiseFence(refused uint64) {
 	const step = 1 << 10
--- a/router/granting/loop.go
+++ b/router/granting/loop.go
@@ -67,9 +67,9 @@
 		want    atomic.Bool  // the instance is to grant
 		calls   sync.WaitGroup
 
-		epoch    uint64    // claimed last; used by Run alone
-		highest  uint64    // seen; used by Run alone
-		claimed  time.Time // last try to claim; used by Run alone
+		epoch    atomic.Uint64 // claimed last
+		highest  uint64        // seen; used by Run alone
+		claimed  time.Time     // last try to claim; used by Run alone
 		writes   chan write
 		sequence uint64 // of the last write of epoch; used by Run alone
 	}
@@ -105,6 +105,18 @@
 // SetAssigned says whether the instance is to grant.
 func (l *Loop) SetAssigned(assigned bool) { l.want.Store(assigned) }
 
+// EndFormer tells that the granter of epoch has stopped, if it was a former
+// process of this instance: the process that runs now never granted under it.
+func (l *Loop) EndFormer(ctx context.Context, epoch uint64) {
+	if l.Claimed(epoch) {
+		return
+	}
+	l.calls.Go(func() { l.tellResigned(ctx, epoch) })
+}
+
+// Claimed reports whether this process has claimed epoch last.
+func (l *Loop) Claimed(epoch uint64) bool { return l.epoch.Load() == epoch }
+
 // Grants reports whether the instance holds an epoch that it may act under.
 func (l *Loop) Grants() bool { return l.mayOrder() }
 
@@ -131,7 +143,7 @@
 // take steps the granter with e.
 func (l *Loop) take(ctx context.Context, e ownership.Event) {
 	if seen, ok := e.(ownership.EpochSeen); ok {
-		seen.Own = seen.Epoch == l.epoch && l.want.Load()
+		seen.Own = seen.Epoch == l.epoch.Load() && l.want.Load()
 		e = seen
 		if seen.Epoch > l.highest {
 			l.highest = seen.Epoch
@@ -158,7 +170,8 @@
 
 func (l *Loop) claim(ctx context.Context) {
 	epoch := (l.highest>>epochRandomBits+1)<<epochRandomBits | rand.Uint64N(1<<epochRandomBits)
-	l.epoch, l.sequence = epoch, 0
+	l.epoch.Store(epoch)
+	l.sequence = 0
 	prior := l.highest
 	l.calls.Go(func() {
 		if err := l.store.Claim(ctx, epoch, prior); err != nil {
@@ -176,13 +189,15 @@
 	l.step(ctx, ownership.Stopped{})
 	l.trusted.Store(0)
 	l.log.Event("granting-ended", "epoch", epoch)
-	l.calls.Go(func() {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), resignLimit)
-		defer cancel()
-		if err := l.store.Resign(ctx, epoch); err != nil {
-			l.log.Event("resignation-failed", "epoch", epoch, "reason", err.Error())
-		}
-	})
+	l.calls.Go(func() { l.tellResigned(context.WithoutCancel(ctx), epoch) })
+}
+
+func (l *Loop) tellResigned(ctx context.Context, epoch uint64) {
+	ctx, cancel := context.WithTimeout(ctx, resignLimit)
+	defer cancel()
+	if err := l.store.Resign(ctx, epoch); err != nil {
+		l.log.Event("resignation-failed", "epoch", epoch, "reason", err.Error())
+	}
 }
 
 func (l *Loop) step(ctx context.Context, e ownership.Event) {
@@ -201,7 +216,7 @@
 	switch e := e.(type) {
 	case ownership.WriteBook:
 		l.sequence++
-		l.writes <- write{epoch: l.epoch, sequence: l.sequence, book: e.Book}
+		l.writes <- write{epoch: l.epoch.Load(), sequence: l.sequence, book: e.Book}
 	case ownership.SendGrant:
 		l.calls.Go(func() { l.grant(ctx, e) })
 	case ownership.SendRelease:
@@ -210,7 +225,7 @@
 		l.granted(e)
 	case ownership.Decided:
 		l.log.Event("ownership-"+e.What, "service", e.Service, "from", e.Range.From, "to", e.Range.To,
-			"server", e.Life.ID, "born", e.Life.Born, "fence", e.Fence, "wait-ms", e.Wait.Milliseconds(), "epoch", l.epoch)
+			"server", e.Life.ID, "born", e.Life.Born, "fence", e.Fence, "wait-ms", e.Wait.Milliseconds(), "epoch", l.epoch.Load())
 	}
 }
 
