--- a/router/datagram/datagram.go
+++ b/router/datagram/datagram.go
@@ -44,6 +44,7 @@
 		Offset uint64 `cbor:"2,keyasint"`
 		Key    string `cbor:"3,keyasint"`
 		Value  []byte `cbor:"4,keyasint"`
+		Base   uint64 `cbor:"5,keyasint,omitempty"` // version of the book from which Value differs; 0 when Value is whole
 	}
 
 	// Granted says that the owner of a range has taken its grant.
