--- a/router/datagram/datagram.go
+++ b/router/datagram/datagram.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"net"
 	"net/netip"
@@ -70,6 +71,7 @@
 	// Bus sends and receives messages at one UDP address.
 	Bus struct {
 		conn *net.UDPConn
+		sent expvar.Int // bytes
 	}
 )
 
@@ -86,6 +88,9 @@
 	return &Bus{conn: c}, nil
 }
 
+// Sent returns the bytes sent so far.
+func (b *Bus) Sent() expvar.Var { return &b.sent }
+
 // Send sends m to address; it may be lost all the same.
 func (b *Bus) Send(address string, m Message) error { return b.SendAll([]string{address}, m) }
 
@@ -102,6 +107,7 @@
 	for _, address := range addresses {
 		a, err := netip.ParseAddrPort(address)
 		if err == nil {
+			b.sent.Add(int64(len(data)))
 			_, err = b.conn.WriteToUDPAddrPort(data, a)
 		}
 		if err != nil {
--- a/router/direct/backend.go
+++ b/router/direct/backend.go
@@ -50,6 +50,18 @@
 	Far
 )
 
+// String names a distance as metrics and logs do.
+func (d Distance) String() string {
+	switch d {
+	case Near:
+		return "failure-domain"
+	case Regional:
+		return "region"
+	default:
+		return "other-region"
+	}
+}
+
 func newBackend(s Listed) *backend {
 	b := &backend{}
 	b.info.Store(&s)
--- a/router/direct/conn.go
+++ b/router/direct/conn.go
@@ -41,6 +41,7 @@
 		net.Conn
 		reader  *bufio.Reader
 		written int64 // bytes of the present request that were handed to the kernel
+		read    int64 // bytes of the present answer that came
 		reused  bool
 		keep    time.Duration // how long it may stay unused
 		unused  time.Time
@@ -80,7 +81,9 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize), keep: defaultKeep}, time.Since(began), nil
+	c := &conn{Conn: raw, keep: defaultKeep}
+	c.reader = bufio.NewReaderSize(c, readBufferSize)
+	return c, time.Since(began), nil
 }
 
 // setUserTimeout bounds how long sent bytes may stay without acknowledgement,
@@ -106,7 +109,7 @@
 		p.idle = p.idle[:n-1]
 		p.mu.Unlock()
 		if now.Sub(c.unused) < c.keep && c.quiet() {
-			c.reused, c.written = true, 0
+			c.reused, c.written, c.read = true, 0, 0
 			return c
 		}
 		p.drop(c)
@@ -187,6 +190,13 @@
 	return n, err
 }
 
+// Read implements net.Conn and counts.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.read += int64(n)
+	return n, err
+}
+
 // quiet reports whether the connection is open and holds no bytes that nobody
 // asked for.
 func (c *conn) quiet() bool {
--- a/router/direct/exchange.go
+++ b/router/direct/exchange.go
@@ -87,6 +87,7 @@
 		took    time.Duration
 		dialled time.Duration // 0 when a used connection was taken
 		reused  bool
+		bytes   int64 // written and read
 	}
 )
 
@@ -121,6 +122,7 @@
 	}
 	s.readAnswer(ctx, &b.pool, c, r, &t, written)
 	t.took = time.Since(began) - dialled
+	t.bytes = c.written + c.read
 	return t
 }
 
--- a/router/direct/metrics.go
+++ b/router/direct/metrics.go
@@ -25,6 +25,7 @@
 		tries       *expvar.Map // by service and outcome
 		dialled     *expvar.Int
 		undelivered *expvar.Int
+		bytes       *expvar.Map // to and from backend servers, by service and distance
 		all         *expvar.Map
 
 		mu        sync.Mutex
@@ -35,7 +36,7 @@
 func newMetrics() *Metrics {
 	m := &Metrics{
 		answers: new(expvar.Map), refusals: new(expvar.Map), tries: new(expvar.Map),
-		dialled: new(expvar.Int), undelivered: new(expvar.Int), all: new(expvar.Map),
+		dialled: new(expvar.Int), undelivered: new(expvar.Int), bytes: new(expvar.Map), all: new(expvar.Map),
 		latencies: map[string]*hdrhistogram.Histogram{},
 	}
 	m.all.Set("answers", m.answers)
@@ -43,6 +44,7 @@
 	m.all.Set("tries", m.tries)
 	m.all.Set("connections-opened", m.dialled)
 	m.all.Set("answers-not-delivered", m.undelivered)
+	m.all.Set("bytes-by-distance", m.bytes)
 	m.all.Set("latency-us", expvar.Func(m.quantiles))
 	return m
 }
@@ -50,7 +52,8 @@
 // Var returns all metrics of the entry.
 func (s *Server) Var() expvar.Var { return s.metrics.all }
 
-func (m *Metrics) tried(service string, t try) {
+func (m *Metrics) tried(service string, d Distance, t try) {
+	m.bytes.Add(service+"/"+d.String(), t.bytes)
 	m.tries.Add(service+"/"+t.outcome.String(), 1)
 	if t.dialled > 0 {
 		m.dialled.Add(1)
--- a/router/direct/server.go
+++ b/router/direct/server.go
@@ -119,7 +119,7 @@
 	r, route, f := s.read(hr, began)
 	p := &progress{began: began, route: route}
 	if f == nil {
-		p.service = s.splits.next(route).Service
+		p.service = s.splits.next(route, s.distanceTo(r, began)).Service
 		var a *answer
 		if a, f = s.serve(hr, r, p); a != nil {
 			s.relay(w, a)
@@ -261,6 +261,21 @@
 	return uint32(key), true
 }
 
+// distanceTo returns how far a request has to go in each part of a route: to the
+// owner of its key, or to a server nearby where any will do.
+func (s *Server) distanceTo(r *request, now time.Time) func(Part) Distance {
+	return func(p Part) Distance {
+		key, ok := s.key(r, p.Service)
+		if !ok {
+			return Near
+		}
+		if v := s.owner(p.Service, key, now); v.backend != nil {
+			return v.backend.info.Load().Distance
+		}
+		return Far
+	}
+}
+
 // nearest places r on a server of a service without owners.
 func (s *Server) nearest(w work, toTarget time.Duration, p *progress, now time.Time) *candidate {
 	servers := s.fleet.Load().services[p.service]
@@ -294,7 +309,7 @@
 	if t.outcome == outcomeDone && e.status < 500 && t.report.Valid && t.report.Waiting == 0 {
 		s.usual.observe(p.route, p.service, time.Duration(float64(t.took)/slow))
 	}
-	s.metrics.tried(p.service, t)
+	s.metrics.tried(p.service, b.info.Load().Distance, t)
 	p.last = t
 	p.tried = append(p.tried, b)
 	if t.outcome == outcomeUnsent {
--- a/router/direct/split.go
+++ b/router/direct/split.go
@@ -2,8 +2,12 @@
 
 import "sync"
 
+// splitLead is how many requests a part may be ahead of its share at one
+// instance, so that a request can go to the part that serves it nearer.
+const splitLead = 2
+
 // splitter deals the requests of split routes to their parts, so that after
-// any number of requests each part has its share to within one request.
+// any number of requests each part has its share to within a few requests.
 type splitter struct {
 	mu   sync.Mutex
 	rows map[string][]float64 // by route name: what each part is owed; guarded by mu
@@ -11,8 +15,10 @@
 
 func newSplitter() *splitter { return &splitter{rows: map[string][]float64{}} }
 
-// next returns the part that the next request of r goes to.
-func (s *splitter) next(r *Route) Part {
+// next returns the part that the next request of r goes to: the one at the least
+// distance, unless it has had more than its share, or else the one that is owed
+// most.
+func (s *splitter) next(r *Route, distance func(Part) Distance) Part {
 	if len(r.Parts) == 1 {
 		return r.Parts[0]
 	}
@@ -23,16 +29,36 @@
 		owed = make([]float64, len(r.Parts))
 		s.rows[r.Name] = owed
 	}
-	sum, best := 0.0, 0
+	sum := 0.0
 	for _, p := range r.Parts {
 		sum += p.Weight
 	}
+	best := 0
 	for i, p := range r.Parts {
 		owed[i] += p.Weight / sum
 		if owed[i] > owed[best] {
 			best = i
 		}
 	}
+	if near, ok := nearer(r.Parts, owed, best, distance); ok {
+		best = near
+	}
 	owed[best]--
 	return r.Parts[best]
 }
+
+// nearer returns a part at a smaller distance than the one that is owed most,
+// if it is not too far ahead of its share.
+func nearer(parts []Part, owed []float64, most int, distance func(Part) Distance) (int, bool) {
+	best, found := most, false
+	least := distance(parts[most])
+	for i, p := range parts {
+		if p.Weight <= 0 || owed[i]-1 < -splitLead {
+			continue
+		}
+		if d := distance(p); d < least {
+			best, least, found = i, d, true
+		}
+	}
+	return best, found
+}
