--- a/router/direct/backend.go
+++ b/router/direct/backend.go
@@ -33,12 +33,6 @@
 		health   health    // guarded by mu
 		lastUsed time.Time // guarded by mu
 	}
-
-	// serverKey names one life of a server at one address.
-	serverKey struct {
-		life    ownership.Life
-		address string
-	}
 )
 
 const (
