--- a/core/code/code.go
+++ b/core/code/code.go
@@ -70,6 +70,7 @@
 	StillRunning     Code = 3007
 	AnswerCrossed    Code = 3008
 	UploadCutOff     Code = 3009
+	RefusalUnclear   Code = 3010
 )
 
 // Entry is one row of the table of result codes.
@@ -119,6 +120,7 @@
 	{StillRunning, Unknown, http.StatusConflict, "still-running", "An earlier try with this idempotency key is still running."},
 	{AnswerCrossed, Unknown, http.StatusBadGateway, "answer-crossed", "The backend server sent the answer of another request; it was thrown away."},
 	{UploadCutOff, Unknown, http.StatusBadRequest, "upload-cut-off", "The body ended early after a part of it was passed on."},
+	{RefusalUnclear, Unknown, http.StatusBadGateway, "refusal-unclear", "The backend server refused the request without saying that it did not run it."},
 }
 
 // Table returns the rows of all codes in ascending order.
--- a/router/direct/admit.go
+++ b/router/direct/admit.go
@@ -9,6 +9,10 @@
 
 	// returnShare of the caller's time is the longest useful wait.
 	returnShare = 3
+
+	// targetShare of the time to the target is what an answer may be expected to
+	// take, since other instances send to the same server unseen.
+	targetShare = 0.6
 )
 
 // admission is whether a request is sent, and if not, when its caller may come
@@ -26,9 +30,10 @@
 // came back, is sent as long as it can be answered at all.
 func admit(c *candidate, w work, toTarget, toDeadline time.Duration) admission {
 	t := c.answerTime(w)
-	limit := toTarget
-	if limit <= c.hop+time.Duration(float64(w.usual)*c.slowness) {
-		limit = toDeadline
+	least := c.hop + time.Duration(float64(w.usual)*c.slowness)
+	limit := max(time.Duration(targetShare*float64(toTarget)), least)
+	if toTarget <= least {
+		limit = max(time.Duration(targetShare*float64(toDeadline)), least)
 	}
 	if t <= min(limit, toDeadline) {
 		return admission{send: true, expects: t}
--- a/router/direct/exchange.go
+++ b/router/direct/exchange.go
@@ -95,6 +95,7 @@
 	errForeign   = errors.New("the answer belongs to another request")
 	errUnsigned  = errors.New("the success bears no signature of the server")
 	errEncoded   = errors.New("the body of the success is encoded, so it is not the server's own")
+	errUnclear   = errors.New("the server refused without saying that it did not run the request")
 	errTooLong   = errors.New("the answer is longer than an instance holds")
 	aLongTimeAgo = time.Unix(1, 0)
 )
@@ -233,6 +234,12 @@
 	return a.header.Get(s.dialect.NotRun) != "" || a.status == http.StatusMisdirectedRequest
 }
 
+// promisesNotRun reports whether a caller takes status as a promise that its
+// request was not run.
+func promisesNotRun(status int) bool {
+	return status == http.StatusRequestTimeout || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
 // judge finds the outcome of a whole answer to the request.
 func (s *Server) judge(a *answer, t *try) {
 	t.answer = a
@@ -243,6 +250,8 @@
 	switch {
 	case s.notRun(a):
 		t.outcome, t.reason = outcomeNotRun, code.RefusedByBackend
+	case promisesNotRun(a.status):
+		t.outcome, t.reason, t.err = outcomeUnknown, code.RefusalUnclear, errUnclear
 	case success && a.header.Get(s.dialect.Signature) == "":
 		t.outcome, t.reason, t.err = outcomeUnknown, code.AnswerCrossed, errUnsigned
 	case success && a.header.Get("Content-Encoding") != "":
--- /dev/null
+++ b/router/direct/exchange_test.go
@@ -0,0 +1,404 @@
+package direct
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bronzewind.example/core/code"
+	"bronzewind.example/core/oplog"
+	"bronzewind.example/core/ownership"
+)
+
+// testDialect names headers that stand for any platform's.
+var testDialect = Dialect{
+	RequestID: "T-Id", Deadline: "T-Deadline", Key: "T-Key", Expect: "T-Expect", Signature: "T-Signed",
+	NotRun: "T-Not-Run", Load: "T-Load", ParseLoad: func(string) LoadReport { return LoadReport{} },
+}
+
+const testTimeout = 3 * time.Second
+
+// script is a backend server that answers each request on a connection as it is
+// told, byte for byte.
+type script struct {
+	listener net.Listener
+	requests atomic.Int64
+	answer   func(c net.Conn, r *http.Request, n int64)
+	mu       sync.Mutex
+	conns    []net.Conn
+}
+
+func newScript(t *testing.T, answer func(c net.Conn, r *http.Request, n int64)) *script {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &script{listener: l, answer: answer}
+	go s.accept()
+	t.Cleanup(s.stop)
+	return s
+}
+
+func (s *script) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.conns = append(s.conns, c)
+		s.mu.Unlock()
+		go s.serve(c)
+	}
+}
+
+func (s *script) stop() {
+	s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		c.Close()
+	}
+}
+
+func (s *script) serve(c net.Conn) {
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			c.Close()
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		s.answer(c, r, s.requests.Add(1))
+	}
+}
+
+// say writes a whole answer to the request id.
+func say(c net.Conn, status int, id, body string, headers ...string) {
+	fmt.Fprintf(c, "HTTP/1.1 %d X\r\nT-Id: %s\r\nContent-Length: %d\r\n%s\r\n%s",
+		status, id, len(body), strings.Join(append(headers, ""), "\r\n"), body)
+}
+
+func reset(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	c.Close()
+}
+
+// newEntry returns an entry in front of the given servers of one service.
+func newEntry(t *testing.T, route Route, exclusive bool, addresses ...string) *Server {
+	t.Helper()
+	s := NewServer(testDialect, oplog.New(io.Discard))
+	route.Name, route.Host, route.Prefix = "r", "h", "/"
+	route.Timeout, route.Target = testTimeout, testTimeout
+	route.Parts = []Part{{Service: "s", Weight: 1}}
+	s.SetTable(NewTable(1, []Route{route}, []Service{{Name: "s", Exclusive: exclusive, Connections: 50}}, Limits{}))
+	var list []Listed
+	for i, a := range addresses {
+		list = append(list, Listed{Life: ownership.Life{ID: fmt.Sprint("i", i), Born: 1}, Service: "s", Address: a, Slots: 6})
+	}
+	s.SetServers(list, time.Now())
+	t.Cleanup(s.Wait)
+	return s
+}
+
+func ask(t *testing.T, s *Server, method, id, body string) *httptest.ResponseRecorder {
+	t.Helper()
+	r := httptest.NewRequest(method, "http://h/x?q=1", strings.NewReader(body))
+	r.Header.Set("T-Id", id)
+	r.Header.Set("T-Deadline", "2000")
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, r)
+	return w
+}
+
+// TestOutcomes gives for each way in which a server answers what the caller is
+// told and how often the request was sent, idempotent and not.
+func TestOutcomes(t *testing.T) {
+	signed := "T-Signed: s"
+	whole := func(c net.Conn, r *http.Request) { say(c, 200, r.Header.Get("T-Id"), "good", signed) }
+	for _, c := range []struct {
+		name   string
+		answer func(c net.Conn, r *http.Request, n int64)
+		// what an idempotent and another request get: status and sends
+		idempotent, other [2]int
+	}{
+		{"whole", func(c net.Conn, r *http.Request, _ int64) { whole(c, r) }, [2]int{200, 1}, [2]int{200, 1}},
+		{"unsigned success", func(c net.Conn, r *http.Request, n int64) {
+			if n == 1 {
+				say(c, 200, r.Header.Get("T-Id"), "bad")
+				return
+			}
+			whole(c, r)
+		}, [2]int{200, 2}, [2]int{502, 1}},
+		{"encoded success", func(c net.Conn, r *http.Request, n int64) {
+			if n == 1 {
+				say(c, 200, r.Header.Get("T-Id"), "bad", signed, "Content-Encoding: gzip")
+				return
+			}
+			whole(c, r)
+		}, [2]int{200, 2}, [2]int{502, 1}},
+		{"cut short", func(c net.Conn, r *http.Request, n int64) {
+			if n == 1 {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: %s\r\n%s\r\nContent-Length: 100\r\n\r\nfour", r.Header.Get("T-Id"), signed)
+				c.Close()
+				return
+			}
+			whole(c, r)
+		}, [2]int{200, 2}, [2]int{502, 1}},
+		{"no length, then a reset", func(c net.Conn, r *http.Request, n int64) {
+			if n == 1 {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: %s\r\n%s\r\n\r\nfour", r.Header.Get("T-Id"), signed)
+				time.Sleep(20 * time.Millisecond)
+				reset(c)
+				return
+			}
+			whole(c, r)
+		}, [2]int{200, 2}, [2]int{502, 1}},
+		{"no length, then an end", func(c net.Conn, r *http.Request, _ int64) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: %s\r\n%s\r\n\r\ngood", r.Header.Get("T-Id"), signed)
+			c.Close()
+		}, [2]int{200, 1}, [2]int{200, 1}},
+		{"no bytes, then a reset", func(c net.Conn, r *http.Request, n int64) {
+			if n == 1 {
+				reset(c)
+				return
+			}
+			whole(c, r)
+		}, [2]int{200, 2}, [2]int{502, 1}},
+		{"no answer but bytes", func(c net.Conn, r *http.Request, n int64) {
+			if n == 1 {
+				fmt.Fprint(c, "garbage\r\n\r\n")
+				c.Close()
+				return
+			}
+			whole(c, r)
+		}, [2]int{200, 2}, [2]int{502, 1}},
+		{"another request's answer first", func(c net.Conn, r *http.Request, _ int64) {
+			say(c, 200, "someone-else", "bad", signed)
+			whole(c, r)
+		}, [2]int{200, 1}, [2]int{200, 1}},
+		{"refused unrun", func(c net.Conn, r *http.Request, n int64) {
+			if n == 1 {
+				say(c, 503, r.Header.Get("T-Id"), "", "T-Not-Run: 1")
+				return
+			}
+			whole(c, r)
+		}, [2]int{200, 2}, [2]int{200, 2}},
+		{"always refused unrun", func(c net.Conn, r *http.Request, _ int64) {
+			say(c, 429, "", "", "T-Not-Run: 1")
+		}, [2]int{503, 2}, [2]int{503, 2}},
+		{"misdirected", func(c net.Conn, r *http.Request, n int64) {
+			if n == 1 {
+				say(c, 421, "", "")
+				return
+			}
+			whole(c, r)
+		}, [2]int{200, 2}, [2]int{200, 2}},
+		{"503 without a word on running", func(c net.Conn, r *http.Request, _ int64) {
+			say(c, 503, r.Header.Get("T-Id"), "", signed)
+		}, [2]int{502, 2}, [2]int{502, 1}},
+		{"own failure", func(c net.Conn, r *http.Request, _ int64) {
+			say(c, 500, r.Header.Get("T-Id"), "own", signed)
+		}, [2]int{500, 2}, [2]int{500, 1}},
+	} {
+		for _, idempotent := range []bool{true, false} {
+			name, want := c.name+", not idempotent", c.other
+			if idempotent {
+				name, want = c.name+", idempotent", c.idempotent
+			}
+			t.Run(name, func(t *testing.T) {
+				a, b := newScript(t, nil), newScript(t, nil)
+				var sends atomic.Int64
+				one := func(conn net.Conn, r *http.Request, _ int64) { c.answer(conn, r, sends.Add(1)) }
+				a.answer, b.answer = one, one
+				s := newEntry(t, Route{Idempotent: idempotent, Attempts: 2}, false, a.listener.Addr().String(), b.listener.Addr().String())
+				w := ask(t, s, "POST", "r1", "body")
+				got := [2]int{w.Code, int(sends.Load())}
+				if diff := cmp.Diff(want, got); diff != "" {
+					t.Errorf("status and sends (-want +got)\n%s", diff)
+				}
+				if w.Code == 200 && w.Body.String() != "good" {
+					t.Errorf("body %q", w.Body.String())
+				}
+			})
+		}
+	}
+}
+
+// TestUnreachableServerIsNotRun tries the next server when one takes no
+// connection, and says that nothing was run when none does.
+func TestUnreachableServerIsNotRun(t *testing.T) {
+	dead := newScript(t, nil)
+	dead.stop()
+	good := newScript(t, func(c net.Conn, r *http.Request, _ int64) { say(c, 200, r.Header.Get("T-Id"), "good", "T-Signed: s") })
+	s := newEntry(t, Route{Attempts: 1}, false, dead.listener.Addr().String(), good.listener.Addr().String())
+	for i := range 4 {
+		if w := ask(t, s, "POST", fmt.Sprint("r", i), "x"); w.Code != 200 {
+			t.Errorf("request %d got %d", i, w.Code)
+		}
+	}
+	s = newEntry(t, Route{Attempts: 1}, false, dead.listener.Addr().String())
+	w := ask(t, s, "POST", "r", "x")
+	if w.Code != 503 || w.Header().Get("Retry-After") == "" {
+		t.Errorf("status %d and Retry-After %q, want 503 and a time", w.Code, w.Header().Get("Retry-After"))
+	}
+	if got := w.Header().Get(code.Header); got != fmt.Sprint(int(code.BackendUnreachable)) {
+		t.Errorf("code %s", got)
+	}
+}
+
+// TestStrayBytesEndTheConnection uses no connection again on which the server
+// sent more than it was asked for.
+func TestStrayBytesEndTheConnection(t *testing.T) {
+	server := newScript(t, func(c net.Conn, r *http.Request, _ int64) {
+		say(c, 200, r.Header.Get("T-Id"), "good", "T-Signed: s")
+		time.Sleep(10 * time.Millisecond)
+		say(c, 200, r.Header.Get("T-Id"), "again", "T-Signed: s")
+	})
+	s := newEntry(t, Route{Attempts: 1}, false, server.listener.Addr().String())
+	for i := range 3 {
+		if w := ask(t, s, "POST", fmt.Sprint("r", i), "x"); w.Code != 200 || w.Body.String() != "good" {
+			t.Errorf("request %d got %d %q", i, w.Code, w.Body.String())
+		}
+		time.Sleep(30 * time.Millisecond)
+	}
+	if n := len(server.conns); n != 3 {
+		t.Errorf("%d connections for 3 requests, want 3", n)
+	}
+}
+
+// TestCallerWhoLeft ends idempotent work at the server when its caller leaves,
+// and lets other work end.
+func TestCallerWhoLeft(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		broke := make(chan bool, 1)
+		server := newScript(t, func(c net.Conn, r *http.Request, _ int64) {
+			_ = c.SetReadDeadline(time.Now().Add(400 * time.Millisecond))
+			_, err := c.Read(make([]byte, 1))
+			netErr, ok := err.(net.Error)
+			broke <- !(ok && netErr.Timeout())
+			say(c, 200, r.Header.Get("T-Id"), "good", "T-Signed: s")
+		})
+		s := newEntry(t, Route{Idempotent: idempotent, Attempts: 1}, false, server.listener.Addr().String())
+		ctx, leave := context.WithCancel(context.Background())
+		r := httptest.NewRequestWithContext(ctx, "GET", "http://h/x", nil)
+		r.Header.Set("T-Id", "r1")
+		time.AfterFunc(50*time.Millisecond, leave)
+		s.ServeHTTP(httptest.NewRecorder(), r)
+		if got := <-broke; got != idempotent {
+			t.Errorf("idempotent %v: the connection broke: %v", idempotent, got)
+		}
+		leave()
+	}
+}
+
+// TestEarlyAnswerToLongBody uses no connection again whose request was answered
+// before it was written whole.
+func TestEarlyAnswerToLongBody(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var conns atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			go func() {
+				defer c.Close()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				say(c, 503, r.Header.Get("T-Id"), "", "T-Not-Run: 1")
+				time.Sleep(200 * time.Millisecond)
+			}()
+		}
+	}()
+	s := newEntry(t, Route{Attempts: 1, Bulk: true}, false, l.Addr().String())
+	for i := range 2 {
+		if w := ask(t, s, "POST", fmt.Sprint("r", i), strings.Repeat("x", 8<<20)); w.Code != 503 {
+			t.Errorf("request %d got %d, want 503", i, w.Code)
+		}
+	}
+	if n := conns.Load(); n != 2 {
+		t.Errorf("%d connections for 2 requests, want 2", n)
+	}
+}
+
+// TestSuspectsAreBlocked sends a request that takes servers down no fourth time.
+func TestSuspectsAreBlocked(t *testing.T) {
+	var sends atomic.Int64
+	var servers []string
+	for range 8 {
+		var s *script
+		s = newScript(t, func(c net.Conn, r *http.Request, _ int64) {
+			sends.Add(1)
+			s.listener.Close()
+			reset(c)
+		})
+		servers = append(servers, s.listener.Addr().String())
+	}
+	s := newEntry(t, Route{Idempotent: true, Attempts: 1}, false, servers...)
+	var told atomic.Int64
+	s.tellCrash = func(Fingerprint) { told.Add(1) }
+	for range 6 {
+		ask(t, s, "GET", "r", "")
+		s.Wait()
+	}
+	if got := sends.Load(); got != crashesToBlock {
+		t.Errorf("sent %d times, want %d", got, crashesToBlock)
+	}
+	if told.Load() != crashesToBlock {
+		t.Errorf("other instances were told %d times, want %d", told.Load(), crashesToBlock)
+	}
+}
+
+// FuzzAnswer reads any bytes as an answer; a caller gets a success only from a
+// whole answer with its own ID and a signature.
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nT-Id: r1\r\nT-Signed: s\r\nContent-Length: 2\r\n\r\nok"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nT-Id: r2\r\nT-Signed: s\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nT-Id: r1\r\nContent-Length: 0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nT-Id: r1\r\nT-Signed: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		server, client := net.Pipe()
+		go func() {
+			_, _ = server.Write(data)
+			server.Close()
+		}()
+		c := &conn{Conn: client, keep: time.Second}
+		c.reader = bufio.NewReader(c)
+		s := NewServer(testDialect, oplog.New(io.Discard))
+		written := make(chan error, 1)
+		written <- nil
+		c.written = 1
+		var got try
+		var p pool
+		r := &request{id: "r1", method: "GET", deadline: time.Now().Add(time.Second)}
+		s.readAnswer(context.Background(), &p, c, r, &got, written)
+		client.Close()
+		if got.outcome != outcomeDone || got.answer.status >= 300 {
+			return
+		}
+		if got.answer.header.Get("T-Id") != "r1" || got.answer.header.Get("T-Signed") == "" {
+			t.Fatalf("a success that is not the server's answer to the request: %q", data)
+		}
+	})
+}
--- a/router/direct/usual.go
+++ b/router/direct/usual.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	usualGain    = 64  // later samples move the mean by one part in it
-	targetShare  = 4.0 // of the target: the first guess
+	usualGain    = 64   // later samples move the mean by one part in it
+	firstGuess   = 0.25 // of the target
 	smallestWork = time.Millisecond
 )
 
@@ -48,7 +48,7 @@
 func (u *usualTimes) row(r *Route) *usualTime {
 	row, ok := u.rows[r.Name]
 	if !ok {
-		guess := max(smallestWork, time.Duration(float64(r.Target)/targetShare))
+		guess := max(smallestWork, time.Duration(float64(r.Target)*firstGuess))
 		row = &usualTime{mean: guess, samples: 1}
 		u.rows[r.Name] = row
 	}
