--- a/operator/commands.go
+++ b/operator/commands.go
@@ -20,6 +20,7 @@
 	"bronzewind.example/operator/generate"
 	"bronzewind.example/operator/publish"
 	"bronzewind.example/operator/quarantine"
+	"bronzewind.example/operator/requests"
 )
 
 const (
@@ -48,6 +49,8 @@
 		return runStatus(ctx, o, out)
 	case "explain":
 		return runExplain(ctx, o, out)
+	case "explain-request":
+		return runExplainRequest(o, out, errOut)
 	case "quarantine":
 		return runQuarantine(ctx, o, out)
 	case "release":
@@ -57,6 +60,24 @@
 	}
 }
 
+// runExplainRequest tells a request's story. Lines that can't be read are named
+// on standard error.
+func runExplainRequest(o *options, out, errOut io.Writer) error {
+	story, err := requests.Explain(o.file, []string{o.second})
+	if story != nil {
+		for _, line := range story.Unread {
+			fmt.Fprintln(errOut, "bronzectl: not read:", line)
+		}
+	}
+	if err != nil {
+		return fmt.Errorf("request %s in %s: %w", o.file, o.second, err)
+	}
+	if o.json {
+		return json.NewEncoder(out).Encode(story)
+	}
+	return story.Print(out)
+}
+
 func runQuarantine(ctx context.Context, o *options, out io.Writer) error {
 	s, err := fleet.Read(ctx, platform.NewClient(o.url))
 	if err != nil {
--- a/operator/options.go
+++ b/operator/options.go
@@ -68,6 +68,11 @@
 	release.String(&o.author, "a", "author", "who releases")
 	release.String(&o.url, "p", "platform", "URL of the platform")
 
+	explainRequest := p.Command("explain-request", "tell from logs what became of a request, and why", "9c41d07be2a35f68 logs/ --json")
+	explainRequest.AddPositionalValue(&o.file, "request", 1, true, "the request's ID")
+	explainRequest.AddPositionalValue(&o.second, "logs", 2, true, "file of log lines, or folder of such files")
+	explainRequest.Bool(&o.json, "", "json", "write JSON")
+
 	if err := p.ParseArgs(args); err != nil {
 		return nil, err
 	}
--- a/router/direct/budget.go
+++ b/router/direct/budget.go
@@ -25,8 +25,8 @@
 	// share of its own requests, and its part of the slack. It answers servers
 	// that fail or shed while consumers repeat as well.
 	budget struct {
-		limits    BudgetLimits
 		mu        sync.Mutex
+		limits    BudgetLimits       // guarded by mu
 		instances int                // guarded by mu
 		rows      map[string]*window // by service; guarded by mu
 	}
@@ -49,6 +49,17 @@
 	b.instances = max(1, n)
 }
 
+// setLimits replaces the fleet's limits. Counts stay as they are unless the
+// window has another length.
+func (b *budget) setLimits(l BudgetLimits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l.Window != b.limits.Window {
+		b.rows = map[string]*window{}
+	}
+	b.limits = l
+}
+
 // request counts a request for service.
 func (b *budget) request(service string, now time.Time) {
 	b.mu.Lock()
--- a/router/direct/fleet.go
+++ b/router/direct/fleet.go
@@ -135,6 +135,9 @@
 	s.budget.setInstances(n)
 }
 
+// SetBudget replaces the bound on what is sent once more.
+func (s *Server) SetBudget(l BudgetLimits) { s.budget.setLimits(l) }
+
 // wake lets requests that wait for a change look again.
 func (s *Server) wake() {
 	s.mu.Lock()
