Hand the granter's role over without gaps

Change: a granter goes on until another has claimed the role; only the granter and instances that hear none are in the group; a deposed granter hears of it by datagram and resigns by datagram and record, with the age of its last unanswered grant; refused writes are given up; many silent servers are the granter's own trouble; waits count from the writing.

--- a/core/ownership/act.go
+++ b/core/ownership/act.go
@@ -14,7 +14,7 @@
 		if !s.listed {
 			continue
 		}
-		if !s.writing {
+		if !s.writing && !now.Before(s.planAt) {
 			out = append(out, g.plan(s, now)...)
 		}
 		out = append(out, g.move(s, now)...)
@@ -78,7 +78,8 @@
 
 // freeAt returns when v surely holds the range no longer, whatever it answers.
 func (g *Granter) freeAt(v *vacating) time.Time {
-	return later(v.sent, g.quiet()).Add(g.longestHold())
+	quiet, _ := g.quiet()
+	return later(v.sent, quiet).Add(g.longestHold())
 }
 
 // free reports whether v surely holds the range no longer. A release ends its
@@ -93,7 +94,8 @@
 // lateUntil returns the time until which a grant that v did not answer may be in
 // force; the zero time when there is none.
 func (g *Granter) lateUntil(v *vacating) time.Time {
-	last := later(v.unanswered, g.quiet())
+	_, earlier := g.quiet()
+	last := later(v.unanswered, earlier)
 	if last.IsZero() {
 		return last
 	}
--- a/core/ownership/balance.go
+++ b/core/ownership/balance.go
@@ -10,7 +10,8 @@
 // those that are furthest below. Nothing moves while another move is on.
 func (p *planner) balance() {
 	s := p.service
-	if p.changed || p.now.Before(s.settled) || p.now.Before(p.granter.quiet()) {
+	quiet, _ := p.granter.quiet()
+	if p.changed || p.now.Before(s.settled) || p.now.Before(quiet) {
 		return
 	}
 	if slices.ContainsFunc(p.rows, func(r Row) bool { return r.Moving }) {
--- a/core/ownership/book.go
+++ b/core/ownership/book.go
@@ -51,6 +51,7 @@
 		Version uint64 // grows with each write
 		Epoch   uint64 // of the granter that wrote it
 		Fence   uint64 // highest fence given out
+		Written int64  // Unix milliseconds by the writer's clock; only a hint
 		Rows    []Row  // in order of keys, without overlap
 	}
 )
--- a/core/ownership/granter.go
+++ b/core/ownership/granter.go
@@ -47,8 +47,14 @@
 	}
 
 	// Resigned says that the granter of an epoch has stopped: nothing that it
-	// sent is on its way.
-	Resigned struct{ Epoch uint64 }
+	// sent is on its way. A grant that was not answered may still be carried out
+	// late.
+	Resigned struct {
+		Epoch uint64
+		// Unanswered is how long ago it sent the last grant that was not answered;
+		// a negative one means that it doesn't know.
+		Unanswered time.Duration
+	}
 
 	// Stopped says that this granter grants no more.
 	Stopped struct{}
@@ -144,13 +150,19 @@
 	// it acts only while it holds an epoch.
 	Granter struct {
 		timing    Timing
-		epoch     uint64               // 0 while another instance grants
-		highest   uint64               // of all epochs seen
-		confirmed time.Time            // no epoch was above at this time
-		stops     map[uint64]time.Time // by epoch: its granter sends nothing from then on
+		epoch     uint64          // 0 while another instance grants
+		highest   uint64          // of all epochs seen
+		confirmed time.Time       // no epoch was above at this time
+		stops     map[uint64]stop // by epoch, of earlier granters
 		services  map[string]*service
 	}
 
+	// stop says when a granter sends nothing any more.
+	stop struct {
+		at         time.Time
+		unanswered time.Time // last grant that was not answered; at the latest at
+	}
+
 	service struct {
 		name    string
 		book    Book // last one written
@@ -163,6 +175,7 @@
 		demand  Demand
 		work    time.Duration // in a slot of an average server; 0 when not known
 		settled time.Time     // no moves for balance before it
+		planAt  time.Time     // nothing is planned before it
 	}
 
 	// server is what the granter knows of one life.
@@ -220,6 +233,9 @@
 	releaseRetry = 500 * time.Millisecond
 	grantRetry   = 250 * time.Millisecond
 
+	// planRetry is the wait after a book could not be written.
+	planRetry = 500 * time.Millisecond
+
 	// maxFlying is the most grants to one server that may be on their way, for
 	// each of its ranges.
 	maxFlying = 3
@@ -260,7 +276,7 @@
 
 // NewGranter returns a granter without an epoch.
 func NewGranter(t Timing) *Granter {
-	return &Granter{timing: t, services: map[string]*service{}, stops: map[uint64]time.Time{}}
+	return &Granter{timing: t, services: map[string]*service{}, stops: map[uint64]stop{}}
 }
 
 // Epoch returns the epoch held; 0 while another instance grants.
@@ -289,7 +305,7 @@
 	case EpochSeen:
 		g.seen(e, now)
 	case Resigned:
-		g.stops[e.Epoch] = now
+		g.stops[e.Epoch] = stop{at: now, unanswered: now.Add(-max(0, e.Unanswered))}
 	case Stopped:
 		g.epoch = 0
 	case Confirmed:
@@ -303,7 +319,7 @@
 		g.service(e.Service).measured(e)
 		return nil
 	case BookWritten:
-		g.written(e)
+		g.written(e, now)
 	case GrantAnswered:
 		if g.grantAnswered(e, now) && g.MaySend(now) {
 			granted := Granted{Service: e.Grant.Service, Range: e.Grant.Range, Fence: e.Grant.Fence}
@@ -360,7 +376,8 @@
 	}
 	for _, old := range []uint64{g.highest, e.Prior} {
 		if _, known := g.stops[old]; !known && old > 0 {
-			g.stops[old] = now.Add(g.timing.Trust)
+			at := now.Add(g.timing.Trust)
+			g.stops[old] = stop{at: at, unanswered: at}
 		}
 	}
 	g.highest = e.Epoch
@@ -382,15 +399,27 @@
 	}
 }
 
-// quiet returns the time from which nothing of earlier granters is sent.
-func (g *Granter) quiet() time.Time {
+// quiet returns the time from which nothing of earlier granters is sent, and the
+// last time at which one of them may have sent a grant that was not answered.
+func (g *Granter) quiet() (at, unanswered time.Time) {
+	for _, s := range g.stops {
+		at, unanswered = later(at, s.at), later(unanswered, s.unanswered)
+	}
+	return at, unanswered
+}
+
+// LastUnanswered returns how long ago a grant was sent that was not answered,
+// and whether all grants have been answered or given up.
+func (g *Granter) LastUnanswered(now time.Time) (time.Duration, bool) {
+	settled := true
 	var last time.Time
-	for _, t := range g.stops {
-		if t.After(last) {
-			last = t
+	for _, s := range g.services {
+		for _, v := range s.servers {
+			settled = settled && len(v.flying) == 0
+			last = later(last, v.unanswered)
 		}
 	}
-	return last
+	return now.Sub(last), settled
 }
 
 func later(a, b time.Time) time.Time {
@@ -441,13 +470,15 @@
 	return false
 }
 
-func (g *Granter) written(e BookWritten) {
+func (g *Granter) written(e BookWritten, now time.Time) {
 	s := g.service(e.Service)
 	if !s.writing || s.wanted.Version != e.Version {
 		return
 	}
 	s.writing = false
-	if !e.Failed {
+	if e.Failed {
+		s.planAt = now.Add(planRetry)
+	} else {
 		s.book = s.wanted
 		s.forgetMoves()
 	}
--- a/core/ownership/history_test.go
+++ b/core/ownership/history_test.go
@@ -329,7 +329,7 @@
 		g.step(e)
 		if g.history.mutant == noQuietTime {
 			if seen, ok := e.(EpochSeen); ok {
-				g.step(Resigned{Epoch: seen.Prior})
+				g.step(Resigned{Epoch: seen.Prior, Unanswered: time.Hour})
 			}
 		}
 	}
@@ -381,14 +381,29 @@
 	case !g.assigned && holds:
 		epoch := g.Epoch()
 		g.step(Stopped{})
-		h.after(h.timing.Send, func() {
-			g.calls(func() { h.store.records = append(slices.Clone(h.store.records), Resigned{Epoch: epoch}) })
-		})
+		g.resign(epoch)
 	default:
 		g.step(Ticked{})
 	}
 }
 
+// resign tells that the granter has stopped, once nothing is on its way.
+func (g *historyGranter) resign(epoch uint64) {
+	h := g.history
+	h.after(50*time.Millisecond, func() {
+		g.run(func() {
+			late, settled := g.LastUnanswered(h.now)
+			if !settled {
+				g.resign(epoch)
+				return
+			}
+			g.calls(func() {
+				h.store.records = append(slices.Clone(h.store.records), Resigned{Epoch: epoch, Unanswered: late})
+			})
+		})
+	})
+}
+
 func (g *historyGranter) claim() {
 	h := g.history
 	prior := g.highest
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -26,6 +26,10 @@
 	// maxMoves is the most ranges that one round of balance moves.
 	maxMoves = 8
 
+	// mostUnreachable is the share of servers that may be silent at once for their
+	// own sake.
+	mostUnreachable = 0.34
+
 	// spreadParts is how many servers share the keys of a server that is lost.
 	spreadParts = 3
 
@@ -76,8 +80,9 @@
 
 func (g *Granter) newPlanner(s *service, now time.Time) *planner {
 	p := &planner{granter: g, service: s, now: now, rows: slices.Clone(s.book.Rows), next: s.book.Fence + 1}
+	unreachable := s.unreachable(now)
 	for _, v := range s.servers {
-		if s.eligible(v) && !v.silent(now) {
+		if s.eligible(v) && !unreachable[v.Life] {
 			p.targets = append(p.targets, &target{server: v, capacity: capacity(v)})
 		}
 	}
@@ -90,6 +95,26 @@
 	return p
 }
 
+// unreachable returns the servers that are silent. When many are, the fault lies
+// with the granter's own connections, and none counts.
+func (s *service) unreachable(now time.Time) map[Life]bool {
+	out := map[Life]bool{}
+	eligible := 0
+	for _, v := range s.servers {
+		if !s.eligible(v) {
+			continue
+		}
+		eligible++
+		if v.silent(now) {
+			out[v.Life] = true
+		}
+	}
+	if len(out) > 1 && float64(len(out)) > mostUnreachable*float64(eligible) {
+		return nil
+	}
+	return out
+}
+
 // capacity is what v can do in comparison with others of its service.
 func capacity(v *server) float64 {
 	out := float64(max(1, v.Slots))
--- a/router/datagram/datagram.go
+++ b/router/datagram/datagram.go
@@ -30,6 +30,10 @@
 		Ends    []End    `cbor:"4,keyasint,omitempty"`
 		Records []Record `cbor:"5,keyasint,omitempty"`
 		Granted *Granted `cbor:"6,keyasint,omitempty"`
+		Leaving bool     `cbor:"7,keyasint,omitempty"` // the sender grants, and is about to stop
+		Epoch   uint64   `cbor:"8,keyasint,omitempty"` // under which the sender grants
+
+		Resigned *Resigned `cbor:"9,keyasint,omitempty"`
 	}
 
 	// End says how far a topic of the store goes, as the sender knows it.
@@ -48,6 +52,12 @@
 		Base   uint64 `cbor:"5,keyasint,omitempty"` // version of the book from which Value differs; 0 when Value is whole
 	}
 
+	// Resigned says that the granter of an epoch has stopped.
+	Resigned struct {
+		Epoch        uint64 `cbor:"1,keyasint"`
+		UnansweredMs int64  `cbor:"2,keyasint"` // since the last grant that was not answered
+	}
+
 	// Granted says that the owner of a range has taken its grant.
 	Granted struct {
 		Service string `cbor:"1,keyasint"`
--- a/router/direct/fleet.go
+++ b/router/direct/fleet.go
@@ -10,7 +10,7 @@
 const (
 	// leavingOwnerTime is how long the owner of a key goes on getting work after
 	// it was listed as leaving, while its keys are handed over.
-	leavingOwnerTime = 1500 * time.Millisecond
+	leavingOwnerTime = 700 * time.Millisecond
 
 	// connectionShare is how many times its even share of a server's connections
 	// an instance may open, since callers are spread unevenly.
--- a/router/direct/owner.go
+++ b/router/direct/owner.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bronzewind.example/core/code"
+	"bronzewind.example/core/ownership"
 )
 
 // ownerWait is how long a request waits for word on a key that seems to have no
@@ -28,8 +29,7 @@
 		return ownerView{}
 	}
 	if row.Moving && !o.granted[row.Move()] {
-		left := time.Duration(row.Waits)*time.Millisecond - now.Sub(o.read)
-		return ownerView{wait: max(0, left)}
+		return ownerView{wait: o.waitFor(row, now)}
 	}
 	m, ok := s.fleet.Load().lives[row.Owner]
 	if !ok || !m.leaving.IsZero() && now.Sub(m.leaving) >= leavingOwnerTime {
@@ -38,6 +38,17 @@
 	return ownerView{backend: m.backend}
 }
 
+// waitFor returns how much longer a moving row will surely wait for its earlier
+// holders. The book may have been written long before it was read here.
+func (o *owned) waitFor(r ownership.Row, now time.Time) time.Duration {
+	whole := time.Duration(r.Waits) * time.Millisecond
+	left := whole - now.Sub(o.read)
+	if o.book.Written > 0 {
+		left = min(left, whole-now.Sub(time.UnixMilli(o.book.Written)))
+	}
+	return max(0, left)
+}
+
 // awaitOwner returns the owner of the key of r. While the key moves, the request
 // waits, unless it is known that the move takes longer than the caller waits.
 func (s *Server) awaitOwner(ctx context.Context, r *request, service string, key uint32) (*backend, *refusal) {
--- a/router/granting/loop.go
+++ b/router/granting/loop.go
@@ -27,8 +27,8 @@
 	tickInterval = 50 * time.Millisecond
 	eventBuffer  = 256
 	claimRetry   = 700 * time.Millisecond
-	writeRetry   = 100 * time.Millisecond
-	resignLimit  = 1500 * time.Millisecond
+	writeRetry   = 200 * time.Millisecond
+	resignLimit  = 500 * time.Millisecond
 
 	// epochRandomBits tell apart the epochs of instances that claim together.
 	epochRandomBits = 24
@@ -41,11 +41,11 @@
 		// what was claimed is read back.
 		Claim(ctx context.Context, epoch, prior uint64) error
 		// Write appends a book under epoch as the write with the given sequence,
-		// from 1. The same write may be tried again. ErrFenced means that it was
-		// not and never will be done.
+		// from 1. The same write may be tried again. ErrFenced and ErrRefused mean
+		// that this try was not and never will be done.
 		Write(ctx context.Context, epoch, sequence uint64, b ownership.Book) error
-		// Resign tells that the granter of epoch has stopped.
-		Resign(ctx context.Context, epoch uint64) error
+		// Resign tells that a granter has stopped.
+		Resign(ctx context.Context, r ownership.Resigned) error
 	}
 
 	// Orders reach the backend servers.
@@ -67,21 +67,25 @@
 		want    atomic.Bool  // the instance is to grant
 		calls   sync.WaitGroup
 
-		epoch    atomic.Uint64 // claimed last
-		highest  uint64        // seen; used by Run alone
-		claimed  time.Time     // last try to claim; used by Run alone
-		writes   chan write
-		sequence uint64 // of the last write of epoch; used by Run alone
+		epoch   atomic.Uint64 // claimed last
+		highest uint64        // seen; used by Run alone
+		ended   uint64        // epoch under which the granter stopped and has not told so; used by Run alone
+		claimed time.Time     // last try to claim; used by Run alone
+		writes  chan write
 	}
 
 	write struct {
-		epoch, sequence uint64
-		book            ownership.Book
+		epoch uint64
+		book  ownership.Book
 	}
 )
 
-// ErrFenced means that another granter has a higher epoch.
-var ErrFenced = errors.New("another granter has a higher epoch")
+var (
+	// ErrFenced means that another granter has a higher epoch.
+	ErrFenced = errors.New("another granter has a higher epoch")
+	// ErrRefused means that the store has not done a call and never will.
+	ErrRefused = errors.New("the store refused the call")
+)
 
 // NewLoop returns a loop that does not grant until SetAssigned. It calls granted
 // for each move that has ended, ahead of the book that says so.
@@ -111,12 +115,19 @@
 	if l.Claimed(epoch) {
 		return
 	}
-	l.calls.Go(func() { l.tellResigned(ctx, epoch) })
+	l.calls.Go(func() { l.tellResigned(ctx, ownership.Resigned{Epoch: epoch}) })
 }
 
 // Claimed reports whether this process has claimed epoch last.
 func (l *Loop) Claimed(epoch uint64) bool { return l.epoch.Load() == epoch }
 
+// Holds reports whether the instance has the role, whether or not it may act
+// under it at present.
+func (l *Loop) Holds() bool { return l.trusted.Load() != 0 }
+
+// Epoch returns the epoch that this process claimed last.
+func (l *Loop) Epoch() uint64 { return l.epoch.Load() }
+
 // Grants reports whether the instance holds an epoch that it may act under.
 func (l *Loop) Grants() bool { return l.mayOrder() }
 
@@ -140,10 +151,12 @@
 	done <- <-written
 }
 
-// take steps the granter with e.
+// take steps the granter with e. A granter that is deposed tells that it has
+// stopped.
 func (l *Loop) take(ctx context.Context, e ownership.Event) {
+	held := l.granter.Epoch()
 	if seen, ok := e.(ownership.EpochSeen); ok {
-		seen.Own = seen.Epoch == l.epoch.Load() && l.want.Load()
+		seen.Own = l.Claimed(seen.Epoch) && l.want.Load()
 		e = seen
 		if seen.Epoch > l.highest {
 			l.highest = seen.Epoch
@@ -151,27 +164,46 @@
 		}
 	}
 	l.step(ctx, e)
+	if held > 0 && l.granter.Epoch() != held {
+		l.log.Event("granting-ended", "epoch", held, "reason", "another epoch is higher")
+		l.want.Store(false)
+		l.ended = held
+	}
+}
+
+// resignEnded tells that the granter of the epoch that ended has stopped, once
+// nothing that it sent is on its way.
+func (l *Loop) resignEnded(ctx context.Context) {
+	if l.ended == 0 {
+		return
+	}
+	late, settled := l.granter.LastUnanswered(l.clock.Now())
+	if !settled {
+		return
+	}
+	r := ownership.Resigned{Epoch: l.ended, Unanswered: late}
+	l.ended = 0
+	l.calls.Go(func() { l.tellResigned(ctx, r) })
 }
 
-// tick claims the role, gives it up, or lets time pass.
+// tick claims the role or lets time pass. A granter that is to grant no longer
+// goes on until another one has claimed the role, so that nothing lapses.
 func (l *Loop) tick(ctx context.Context) {
 	now := l.clock.Now()
-	holds := l.granter.Epoch() > 0
-	switch want := l.want.Load(); {
-	case want && !holds && now.Sub(l.claimed) >= claimRetry:
+	l.resignEnded(ctx)
+	if l.granter.Epoch() > 0 {
+		l.step(ctx, ownership.Ticked{})
+		return
+	}
+	if l.want.Load() && now.Sub(l.claimed) >= claimRetry {
 		l.claimed = now
 		l.claim(ctx)
-	case !want && holds:
-		l.resign(ctx)
-	case holds:
-		l.step(ctx, ownership.Ticked{})
 	}
 }
 
 func (l *Loop) claim(ctx context.Context) {
 	epoch := (l.highest>>epochRandomBits+1)<<epochRandomBits | rand.Uint64N(1<<epochRandomBits)
 	l.epoch.Store(epoch)
-	l.sequence = 0
 	prior := l.highest
 	l.calls.Go(func() {
 		if err := l.store.Claim(ctx, epoch, prior); err != nil {
@@ -188,15 +220,19 @@
 	}
 	l.step(ctx, ownership.Stopped{})
 	l.trusted.Store(0)
-	l.log.Event("granting-ended", "epoch", epoch)
-	l.calls.Go(func() { l.tellResigned(context.WithoutCancel(ctx), epoch) })
+	l.log.Event("granting-ended", "epoch", epoch, "reason", "the instance stops")
+	r := ownership.Resigned{Epoch: epoch}
+	if late, settled := l.granter.LastUnanswered(l.clock.Now()); settled {
+		r.Unanswered = late
+	}
+	l.tellResigned(context.WithoutCancel(ctx), r)
 }
 
-func (l *Loop) tellResigned(ctx context.Context, epoch uint64) {
+func (l *Loop) tellResigned(ctx context.Context, r ownership.Resigned) {
 	ctx, cancel := context.WithTimeout(ctx, resignLimit)
 	defer cancel()
-	if err := l.store.Resign(ctx, epoch); err != nil {
-		l.log.Event("resignation-failed", "epoch", epoch, "reason", err.Error())
+	if err := l.store.Resign(ctx, r); err != nil {
+		l.log.Event("resignation-failed", "epoch", r.Epoch, "reason", err.Error())
 	}
 }
 
@@ -215,8 +251,8 @@
 func (l *Loop) carryOut(ctx context.Context, e ownership.Effect) {
 	switch e := e.(type) {
 	case ownership.WriteBook:
-		l.sequence++
-		l.writes <- write{epoch: l.epoch.Load(), sequence: l.sequence, book: e.Book}
+		e.Book.Written = time.Now().UnixMilli()
+		l.writes <- write{epoch: l.epoch.Load(), book: e.Book}
 	case ownership.SendGrant:
 		l.calls.Go(func() { l.grant(ctx, e) })
 	case ownership.SendRelease:
@@ -256,36 +292,46 @@
 	l.Post(ctx, ownership.ReleaseAnswered{Release: r, Result: result, Handover: handover})
 }
 
-// write carries out the writes in order. One without an answer is tried again,
-// which the store knows by its sequence, until it is done or fenced.
+// write carries out the writes in order. Under each epoch they are numbered from
+// 1 on.
 func (l *Loop) write(ctx context.Context, done chan<- error) {
 	defer func() { done <- nil }()
+	var epoch, sequence uint64
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case w := <-l.writes:
-			l.writeOne(ctx, w)
+			if w.epoch != epoch {
+				epoch, sequence = w.epoch, 0
+			}
+			if l.writeOne(ctx, w, sequence+1) {
+				sequence++
+			}
 		}
 	}
 }
 
-func (l *Loop) writeOne(ctx context.Context, w write) {
+// writeOne reports whether w was written. A write without an answer is tried
+// again, which the store knows by its sequence, until it is done or fenced. One
+// that the store refuses has surely not been done and is given up.
+func (l *Loop) writeOne(ctx context.Context, w write, sequence uint64) bool {
+	unanswered := false
 	for ctx.Err() == nil {
 		sent := l.clock.Now()
-		err := l.store.Write(ctx, w.epoch, w.sequence, w.book)
-		switch {
-		case err == nil:
+		err := l.store.Write(ctx, w.epoch, sequence, w.book)
+		if err == nil {
 			l.Post(ctx, ownership.Confirmed{Sent: sent})
 			l.Post(ctx, ownership.BookWritten{Service: w.book.Service, Version: w.book.Version})
-			return
-		case errors.Is(err, ErrFenced):
-			l.log.Event("write-fenced", "epoch", w.epoch, "service", w.book.Service, "version", w.book.Version)
+			return true
+		}
+		l.log.Limited("write-failed", "epoch", w.epoch, "service", w.book.Service, "version", w.book.Version, "reason", err.Error())
+		refused := errors.Is(err, ErrRefused) && !unanswered
+		if refused || errors.Is(err, ErrFenced) {
 			l.Post(ctx, ownership.BookWritten{Service: w.book.Service, Version: w.book.Version, Failed: true})
-			return
-		default:
-			l.log.Limited("write-failed", "epoch", w.epoch, "service", w.book.Service, "version", w.book.Version, "reason", err.Error())
+			return false
 		}
+		unanswered = unanswered || !errors.Is(err, ErrRefused)
 		timer := time.NewTimer(writeRetry)
 		select {
 		case <-ctx.Done():
@@ -293,4 +339,5 @@
 		}
 		timer.Stop()
 	}
+	return false
 }
