--- a/operator/requests/requests.go
+++ b/operator/requests/requests.go
@@ -113,7 +113,9 @@
 
 func parse(raw []byte) (Line, error) {
 	var fields map[string]any
-	if err := json.Unmarshal(raw, &fields); err != nil {
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.UseNumber() // or fences and times would be printed as fractions
+	if err := d.Decode(&fields); err != nil {
 		return Line{}, fmt.Errorf("the line is cut short or foreign: %w", err)
 	}
 	at, _ := fields["time"].(string)
@@ -135,12 +137,16 @@
 	slices.SortStableFunc(l.lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	named := map[string]bool{}
 	instances := map[string]bool{}
+	key, keyed := int64(0), false
 	for _, line := range l.lines {
 		if line.text("request") != id {
 			continue
 		}
 		out.Lines = append(out.Lines, line)
 		instances[line.Instance] = true
+		if n, ok := line.number("key"); ok {
+			key, keyed = n, true
+		}
 		for _, field := range []string{"server", "owner"} {
 			if v := line.text(field); v != "" {
 				named[v] = true
@@ -158,6 +164,11 @@
 		if server := line.text("server"); server != "" && !named[server] || server == "" && !instances[line.Instance] {
 			continue
 		}
+		if from, ok := line.number("from"); ok && keyed {
+			if to, _ := line.number("to"); key < from || key > to {
+				continue
+			}
+		}
 		out.Beliefs = append(out.Beliefs, line)
 	}
 	out.Cause = out.cause()
@@ -168,12 +179,16 @@
 // names.
 func (s *Story) cause() string {
 	last := s.Lines[len(s.Lines)-1]
-	number, ok := last.Fields["code"].(float64)
+	number, ok := last.number("code")
 	if !ok {
 		return fmt.Sprintf("answered with status %v after %v tries", last.Fields["status"], last.Fields["tries"])
 	}
 	row, _ := code.Lookup(code.Code(number))
-	parts := []string{fmt.Sprintf("%d %s: %s", int(number), row.Name, row.Meaning)}
+	parts := []string{fmt.Sprintf("%d %s: %s", number, row.Name, row.Meaning)}
+	if expected, ok := last.number("expected-ms"); ok {
+		parts = append(parts, fmt.Sprintf("%s had %v requests for %v slots, so the answer was expected after %d ms, and %v ms were left to the target",
+			last.text("server"), last.Fields["server-load"], last.Fields["server-slots"], expected, last.Fields["target-left-ms"]))
+	}
 	for _, l := range s.Lines {
 		if reason := l.text("reason"); reason != "" {
 			parts = append(parts, fmt.Sprintf("a try at %s (%s) ended with: %s", l.text("server"), l.text("address"), reason))
@@ -189,6 +204,15 @@
 	return strings.Join(parts, "; ")
 }
 
+func (l Line) number(name string) (int64, bool) {
+	v, ok := l.Fields[name].(json.Number)
+	if !ok {
+		return 0, false
+	}
+	n, err := v.Int64()
+	return n, err == nil
+}
+
 func (l Line) text(name string) string {
 	v, _ := l.Fields[name].(string)
 	return v
--- a/router/direct/lines.go
+++ b/router/direct/lines.go
@@ -1,6 +1,9 @@
 package direct
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // sampledSuccess is the share of plain successes that get a line: one in it.
 const sampledSuccess = 256
@@ -60,6 +63,10 @@
 	if f != nil {
 		attributes = append(attributes, "code", int(f.code), "outcome", f.code.Outcome().String(), "come-back-ms", f.comeIn.Milliseconds())
 	}
+	if c := p.refused; f != nil && c != nil {
+		attributes = append(attributes, "server", c.backend.info.Load().ID, "server-load", math.Round(c.load), "server-slots", c.slots,
+			"server-slowness", math.Round(100*c.slowness)/100, "expected-ms", p.expects.Milliseconds(), "target-left-ms", p.toTarget.Milliseconds())
+	}
 	if key, ok := s.key(r, p.service); ok {
 		attributes = append(attributes, s.ownerAttributes(p.service, key)...)
 	}
--- a/router/direct/server.go
+++ b/router/direct/server.go
@@ -70,7 +70,11 @@
 		unsent  int
 		unknown *refusal // of a try that may have run
 		answer  *answer  // a failure that the server gave
-		last    try
+
+		// What the last decision not to send was made from.
+		refused  *candidate // nil when no server was refused
+		expects  time.Duration
+		toTarget time.Duration
 	}
 )
 
@@ -243,6 +247,7 @@
 		return nil, refuse(code.BackendUnreachable, refusedPause, left)
 	}
 	if a := admit(c, w, toTarget, left); !a.send {
+		p.refused, p.expects, p.toTarget = c, a.expects, toTarget
 		return nil, &refusal{code: code.TargetUnreachable, comeIn: a.comeIn}
 	}
 	return c.backend, nil
@@ -310,7 +315,6 @@
 		s.usual.observe(p.route, p.service, time.Duration(float64(t.took)/slow))
 	}
 	s.metrics.tried(p.service, b.info.Load().Distance, t)
-	p.last = t
 	p.tried = append(p.tried, b)
 	if t.outcome == outcomeUnsent {
 		p.unsent++
