--- /dev/null
+++ b/core/ownership/granter_test.go
@@ -0,0 +1,186 @@
+package ownership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var testTiming = Timing{Hold: 3 * time.Second, Renewal: 800 * time.Millisecond, Send: 800 * time.Millisecond, Drift: 0.02, Trust: 6 * time.Second}
+
+// rig drives one granter and answers what it asks for as it is told.
+type rig struct {
+	t       *testing.T
+	g       *Granter
+	now     time.Time
+	servers []Server
+	silent  map[string]bool // servers that answer no grant, by ID
+	moves   []Row           // rows that books moved away from an earlier holder
+	grants  []SendGrant     // that were answered
+	held    bool            // writes are not answered
+}
+
+func newRig(t *testing.T, servers int) *rig {
+	r := &rig{t: t, g: NewGranter(testTiming), now: time.Unix(1000, 0), silent: map[string]bool{}}
+	for i := range servers {
+		r.servers = append(r.servers, Server{Life: Life{ID: fmt.Sprint("s", i), Born: 1}, Address: fmt.Sprint("a", i), Slots: 6})
+	}
+	r.step(EpochSeen{Epoch: 1, Own: true})
+	r.step(ServersListed{Service: "s", Servers: r.servers})
+	r.run(4 * time.Second)
+	if rows := r.g.service("s").book.Rows; len(rows) == 0 {
+		t.Fatal("nothing was assigned")
+	}
+	return r
+}
+
+// run lets time pass with fresh word of the store.
+func (r *rig) run(d time.Duration) {
+	for end := r.now.Add(d); r.now.Before(end); {
+		r.now = r.now.Add(50 * time.Millisecond)
+		r.g.Step(Confirmed{Sent: r.now}, r.now)
+		r.step(Ticked{})
+	}
+}
+
+func (r *rig) step(e Event) {
+	for _, effect := range r.g.Step(e, r.now) {
+		switch effect := effect.(type) {
+		case WriteBook:
+			for _, row := range effect.Book.Rows {
+				if row.Moving && len(row.Earlier) > 0 {
+					r.moves = append(r.moves, row)
+				}
+			}
+			if !r.held {
+				r.step(BookWritten{Service: "s", Version: effect.Book.Version})
+			}
+		case SendGrant:
+			result := Done
+			if r.silent[effect.Server.ID] {
+				result = Unanswered
+			} else {
+				r.grants = append(r.grants, effect)
+			}
+			r.step(GrantAnswered{Grant: effect, Sent: r.now, Result: result})
+		case SendRelease:
+			result := Done
+			if r.silent[effect.Server.ID] {
+				result = Unanswered
+			}
+			r.step(ReleaseAnswered{Release: effect, Result: result})
+		case Decided, Granted:
+		}
+	}
+}
+
+// TestSilentServerLosesItsKeys moves the keys of one server that answers nothing,
+// once its hold has surely ended.
+func TestSilentServerLosesItsKeys(t *testing.T) {
+	r := newRig(t, 6)
+	r.silent["s0"] = true
+	began := r.now
+	r.run(6 * time.Second)
+	if len(r.moves) == 0 {
+		t.Fatal("nothing moved")
+	}
+	for _, row := range r.g.service("s").book.Rows {
+		if row.Owner.ID == "s0" || row.Moving {
+			t.Errorf("%v after the server went silent: %+v", r.now.Sub(began), row)
+		}
+	}
+}
+
+// TestManySilentServersMoveNothing takes the silence of most servers for a fault
+// of the granter's own connections.
+func TestManySilentServersMoveNothing(t *testing.T) {
+	r := newRig(t, 6)
+	for i := range 4 {
+		r.silent[fmt.Sprint("s", i)] = true
+	}
+	r.run(6 * time.Second)
+	if len(r.moves) > 0 {
+		t.Errorf("%d rows moved while 4 of 6 servers were silent to the granter", len(r.moves))
+	}
+}
+
+// TestPendingWriteKeepsRenewing goes on renewing while the store does not answer
+// a write, and longer than a grant holds.
+func TestPendingWriteKeepsRenewing(t *testing.T) {
+	r := newRig(t, 4)
+	r.held = true
+	leaving := r.servers
+	leaving[0].Leaving = true
+	r.step(ServersListed{Service: "s", Servers: leaving})
+	r.grants = nil
+	began := r.now
+	for r.now.Sub(began) < 5*time.Second {
+		r.now = r.now.Add(50 * time.Millisecond)
+		r.step(Ticked{})
+	}
+	renewed := map[string]time.Duration{}
+	for _, g := range r.grants {
+		renewed[g.Server.ID] += testTiming.Renewal
+	}
+	for _, id := range []string{"s1", "s2", "s3"} {
+		if renewed[id] < 4*time.Second {
+			t.Errorf("%s was renewed for %v of 5 s", id, renewed[id])
+		}
+	}
+	if renewed["s0"] > 0 {
+		t.Errorf("%s is to lose its keys and was renewed", "s0")
+	}
+}
+
+// TestNothingIsSentWithoutTrust stops when the word of the store is too old.
+func TestNothingIsSentWithoutTrust(t *testing.T) {
+	r := newRig(t, 4)
+	r.now = r.now.Add(testTiming.Trust)
+	if effects := r.g.Step(Ticked{}, r.now); len(effects) > 0 {
+		t.Errorf("%d effects after %v without word of the store", len(effects), testTiming.Trust)
+	}
+}
+
+// TestHotKeyGoesToTheFastestServer replays a key that asks more than any server
+// can do: it ends up alone on the fastest one.
+func TestHotKeyGoesToTheFastestServer(t *testing.T) {
+	r := newRig(t, 6)
+	var demand Demand
+	for i := range demand.Buckets {
+		demand.Buckets[i] = 0.8
+	}
+	demand.Busy = []BusyKey{{Key: 30_000, Rate: 130}}
+	slow := map[string]float64{"s0": 1.6, "s1": 1.6, "s2": 0.7, "s3": 1.6, "s4": 1, "s5": 1}
+	for range 60 {
+		r.step(DemandMeasured{Service: "s", Demand: demand, Work: 90 * time.Millisecond, Slowness: slow})
+		r.run(100 * time.Millisecond)
+	}
+	b := r.g.service("s").book
+	row, _ := b.Lookup(30_000)
+	if row.Owner.ID != "s2" {
+		t.Errorf("the hot key is held by %s, want the fastest, s2", row.Owner.ID)
+	}
+	rest := 0.0
+	for _, other := range b.Rows {
+		if other.Owner == row.Owner && !other.Contains(30_000) {
+			rest += demand.weight(other.Range)
+		}
+	}
+	if rest > 10 {
+		t.Errorf("the server of the hot key has %.0f requests a second besides it", rest)
+	}
+}
+
+// TestNewServerGetsKeys gives a server that joins a share soon.
+func TestNewServerGetsKeys(t *testing.T) {
+	r := newRig(t, 4)
+	r.servers = append(r.servers, Server{Life: Life{ID: "new", Born: 9}, Address: "n", Slots: 6})
+	r.step(ServersListed{Service: "s", Servers: r.servers})
+	r.run(2 * time.Second)
+	for _, row := range r.g.service("s").book.Rows {
+		if row.Owner.ID == "new" && !row.Moving {
+			return
+		}
+	}
+	t.Error("a server that joined has no keys after 2 s")
+}
--- a/router/direct/decisions_test.go
+++ b/router/direct/decisions_test.go
@@ -434,3 +434,19 @@
 	fmt.Println(Near, Regional, Far)
 	// Output: failure-domain region other-region
 }
+
+// TestWaitCountsFromWriting counts the wait of a moving row from when its book
+// was written, also for an instance that reads it much later.
+func TestWaitCountsFromWriting(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := newEntry(t, Route{Attempts: 1}, true, "127.0.0.1:1")
+	row := ownership.Row{Range: ownership.Range{To: 9}, Owner: ownership.Life{ID: "i0", Born: 1}, Fence: 5, Moving: true, Waits: 4000}
+	written := now.Add(-3 * time.Second).UnixMilli()
+	s.SetBook(ownership.Book{Service: "s", Version: 1, Epoch: 1, Fence: 5, Written: written, Rows: []ownership.Row{row}}, now)
+	if v := s.owner("s", 7, now); v.wait != time.Second {
+		t.Errorf("wait %v, want the 1 s that is left", v.wait)
+	}
+	if v := s.owner("s", 7, now.Add(time.Minute)); v.wait != 0 {
+		t.Errorf("wait %v a minute later", v.wait)
+	}
+}
