Take out drain-limit, which was read and never enforced

Work in flight at a planned move ends by its deadline, as before. The lines that the test of the parser expects moved up by one with the field.

--- a/core/config/config.go
+++ b/core/config/config.go
@@ -56,7 +56,6 @@
 		Heartbeat    Duration `yaml:"heartbeat"`     // under a third of Lease
 		Grant        Duration `yaml:"grant"`         // time to live of a grant
 		GrantRenewal Duration `yaml:"grant-renewal"` // under a third of Grant
-		DrainLimit   Duration `yaml:"drain-limit"`   // wanted bound on the wait for work in flight at a planned move; the work's deadline is the one enforced
 		DriftPerMil  int      `yaml:"drift-per-mil"` // bound on clock drift, in thousandths
 	}
 
--- a/core/config/parse_test.go
+++ b/core/config/parse_test.go
@@ -21,11 +21,11 @@
 	valid := sample(t)
 	tests := []struct{ name, old, new, want string }{
 		{"unknown field", "fleet: magnolia", "flet: magnolia", `line 2: unknown field "flet"; remove the field or correct its name`},
-		{"wrong type", "slots: 1024", "slots: many", "line 26: cannot unmarshal string into Go struct field Configuration.Services of type int; give a value of type int"},
-		{"not a power of two", "slots: 1024", "slots: 1000", "line 26: services[0].slots: is not a power of two up to 1048576; choose for example 4096"},
-		{"retries of once-only work", "retries: 0", "retries: 3", "line 34: services[0].kinds[1].retries: is not 0 for once-only work; set retries to 0, or once-only to false"},
+		{"wrong type", "slots: 1024", "slots: many", "line 25: cannot unmarshal string into Go struct field Configuration.Services of type int; give a value of type int"},
+		{"not a power of two", "slots: 1024", "slots: 1000", "line 25: services[0].slots: is not a power of two up to 1048576; choose for example 4096"},
+		{"retries of once-only work", "retries: 0", "retries: 3", "line 33: services[0].kinds[1].retries: is not 0 for once-only work; set retries to 0, or once-only to false"},
 		{"missing field", "  lease: 500ms\n", "", "line 7: timing.lease: is not positive; give a duration such as 500ms\nline 7: timing.heartbeat: is not within a third of the lease; lower heartbeat or raise lease"},
-		{"name twice", "name: press-run", "name: lookup", `line 34: services[0].kinds[1].name: "lookup" stands twice; give each its own`},
+		{"name twice", "name: press-run", "name: lookup", `line 33: services[0].kinds[1].name: "lookup" stands twice; give each its own`},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/core/control/control.go
+++ b/core/control/control.go
@@ -119,7 +119,6 @@
 		Hold            uint64 // grows with each hold of an instance
 		Ranges          []record.SlotRange
 		Keys            []keyspace.Hash
-		Limit           time.Duration // wanted bound; work in flight ends by its deadline
 	}
 
 	// SendMessage asks for a control message to another instance; it may be
--- a/core/control/fake_test.go
+++ b/core/control/fake_test.go
@@ -126,7 +126,7 @@
 	return config.Configuration{
 		Version: 1, Fleet: "test", Regions: []config.Region{{Name: "region-0", FailureDomains: []string{"domain-0"}}},
 		Timing: config.Timing{
-			Lease: ms(500), Heartbeat: ms(150), Grant: ms(400), GrantRenewal: ms(100), DrainLimit: ms(300), DriftPerMil: 10,
+			Lease: ms(500), Heartbeat: ms(150), Grant: ms(400), GrantRenewal: ms(100), DriftPerMil: 10,
 		},
 		Services: []config.Service{{
 			Name: "orders", PathPrefix: "/orders/", Key: config.Key{From: config.KeyFromPath},
--- a/core/control/fleet_test.go
+++ b/core/control/fleet_test.go
@@ -58,7 +58,7 @@
 		Timing: config.Timing{
 			Lease: config.Duration(500 * time.Millisecond), Heartbeat: config.Duration(100 * time.Millisecond),
 			Grant: config.Duration(400 * time.Millisecond), GrantRenewal: config.Duration(100 * time.Millisecond),
-			DrainLimit: config.Duration(time.Second), DriftPerMil: 5,
+			DriftPerMil: 5,
 		},
 		Limits: config.Limits{
 			HeaderBytes: 1 << 14, Connections: 100, HeaderTimeout: config.Duration(time.Second),
--- a/core/control/handover.go
+++ b/core/control/handover.go
@@ -82,7 +82,6 @@
 	h.ownership, h.number, h.since, h.done, h.drained = o, c.holds, now, ownership{}, false
 	return []Effect{HoldSlots{
 		Service: v.Name, Server: server.Row.Name, Hold: h.number, Ranges: h.slots, Keys: h.keys,
-		Limit: c.timing().DrainLimit.Std(),
 	}}
 }
 
--- a/core/control/history_fakes_test.go
+++ b/core/control/history_fakes_test.go
@@ -11,6 +11,9 @@
 	"bronzewind.example/core/state"
 )
 
+// workInFlight is how long work may go on after its key is held.
+const workInFlight = 300 * time.Millisecond
+
 type (
 	// fakeLog is the log service. It folds every record as it is added, so
 	// that its state is the truth that readers are compared with.
@@ -274,7 +277,7 @@
 	d := n.dispatcher(h.Server)
 	d.held = h
 	n.reportDrained(d)
-	n.fleet.after(h.Limit, n.inRun(func() {
+	n.fleet.after(workInFlight, n.inRun(func() {
 		clear(d.running) // what still runs is cancelled
 		n.reportDrained(d)
 	}))
--- a/core/control/history_fleet_test.go
+++ b/core/control/history_fleet_test.go
@@ -191,7 +191,7 @@
 		Regions: []config.Region{{Name: "east", FailureDomains: []string{domain(0), domain(1)}}},
 		Timing: config.Timing{
 			Lease: ms(500), Heartbeat: ms(100), Grant: ms(400), GrantRenewal: ms(100),
-			DrainLimit: ms(300), DriftPerMil: driftPerMil,
+			DriftPerMil: driftPerMil,
 		},
 		Services: []config.Service{{
 			Name: serviceName, PathPrefix: "/proofs/", Key: config.Key{From: config.KeyFromPath},
--- a/lab/capacity/fleet.go
+++ b/lab/capacity/fleet.go
@@ -96,7 +96,7 @@
 		Regions: []config.Region{{Name: "region-1", FailureDomains: []string{"domain-00000"}}},
 		Timing: config.Timing{
 			Lease: millis(460), Heartbeat: millis(115), Grant: millis(370), GrantRenewal: millis(92),
-			DrainLimit: millis(2000), DriftPerMil: 10,
+			DriftPerMil: 10,
 		},
 		Limits: config.Limits{HeaderBytes: 32 << 10, Connections: 10_000, HeaderTimeout: millis(5000), BodyIdleTimeout: millis(30_000), RetryBudgetRatio: 0.1},
 		Services: []config.Service{{
--- a/operator/generate/generate.go
+++ b/operator/generate/generate.go
@@ -92,20 +92,10 @@
 	return config.Timing{
 		Lease: config.Duration(lease), Heartbeat: config.Duration((lease / heartbeatsPerLease).Truncate(time.Millisecond)),
 		Grant: config.Duration(grant), GrantRenewal: config.Duration((grant / renewalsPerGrant).Truncate(time.Millisecond)),
-		DrainLimit: config.Duration(g.longestServiceTime() * 4), DriftPerMil: drift,
+		DriftPerMil: drift,
 	}
 }
 
-func (g *generator) longestServiceTime() time.Duration {
-	longest := 500 * time.Millisecond
-	for _, s := range g.answers.Services {
-		for _, k := range s.Kinds {
-			longest = max(longest, time.Duration(k.ServiceTime))
-		}
-	}
-	return longest
-}
-
 func (g *generator) limits() config.Limits {
 	budget := defaultRetryBudget
 	if g.answers.RetryBudgetPercent != nil {
--- a/router/caller/fleet_test.go
+++ b/router/caller/fleet_test.go
@@ -101,7 +101,6 @@
 		Timing: config.Timing{
 			Lease: config.Duration(time.Second), Heartbeat: config.Duration(100 * time.Millisecond),
 			Grant: config.Duration(time.Second), GrantRenewal: config.Duration(100 * time.Millisecond),
-			DrainLimit: config.Duration(time.Second),
 		},
 		Limits: config.Limits{BodyIdleTimeout: config.Duration(o.body), RetryBudgetRatio: 0.1, HeaderBytes: 8 << 10, Connections: 100, HeaderTimeout: config.Duration(time.Second)},
 		Services: []config.Service{{
--- a/router/dispatch/fleet_test.go
+++ b/router/dispatch/fleet_test.go
@@ -66,7 +66,7 @@
 		Version: 1, Fleet: "test", Regions: []config.Region{{Name: "east", FailureDomains: []string{"e1", "e2"}}},
 		Timing: config.Timing{
 			Lease: config.Duration(time.Second), Heartbeat: config.Duration(100 * time.Millisecond),
-			Grant: config.Duration(time.Second), GrantRenewal: config.Duration(100 * time.Millisecond), DrainLimit: config.Duration(time.Second),
+			Grant: config.Duration(time.Second), GrantRenewal: config.Duration(100 * time.Millisecond),
 		},
 		Limits: config.Limits{HeaderBytes: 8 << 10, Connections: 100, HeaderTimeout: config.Duration(time.Second), BodyIdleTimeout: config.Duration(time.Second), RetryBudgetRatio: 0.1},
 		Services: []config.Service{{
