--- a/core/control/fake_test.go
+++ b/core/control/fake_test.go
@@ -264,7 +264,7 @@
 		}
 	case HoldSlots:
 		i.held[e.Server] = true
-		drained := SlotsDrained{Service: e.Service, Server: e.Server, Hold: e.Hold, Ranges: e.Ranges, Keys: e.Keys}
+		drained := SlotsDrained(e)
 		f.after(10*time.Millisecond, func() { i.post(drained) })
 	case RunEnded:
 		f.events = append(f.events, "ended "+name)
--- a/core/control/fleet_test.go
+++ b/core/control/fleet_test.go
@@ -176,7 +176,7 @@
 	case HoldSlots:
 		n.holds = append(n.holds, e)
 		if !n.inFlight[e.Server] {
-			f.step(n, SlotsDrained{Service: e.Service, Server: e.Server, Hold: e.Hold, Ranges: e.Ranges, Keys: e.Keys})
+			f.step(n, SlotsDrained(e))
 		}
 	case SendMessage:
 		for _, to := range f.nodes {
