--- a/router/direct/exchange.go
+++ b/router/direct/exchange.go
@@ -76,6 +76,14 @@
 		body   []byte
 	}
 
+	// writer is the writing of one request, which may go on beside the reading of
+	// its answer.
+	writer struct {
+		done  chan error // holds the end of the writing
+		ended bool       // done was read
+		err   error      // of the writing, once ended
+	}
+
 	// try is how one exchange ended.
 	try struct {
 		outcome outcome
@@ -115,13 +123,14 @@
 		stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(aLongTimeAgo) })
 		defer stop()
 	}
-	written := make(chan error, 1)
+	body := &writer{done: make(chan error, 1)}
 	if len(r.body) <= inlineBody {
-		written <- s.write(c, r, info.ID)
+		body.done <- s.write(c, r, info.ID)
 	} else {
-		go func() { written <- s.write(c, r, info.ID) }()
+		go func() { body.done <- s.write(c, r, info.ID) }()
 	}
-	s.readAnswer(ctx, &b.pool, c, r, &t, written)
+	s.readAnswer(ctx, &b.pool, c, r, &t, body)
+	_ = body.wait() // at once, or when the connection that was dropped has ended it
 	t.took = time.Since(began) - dialled
 	t.bytes = c.written + c.read
 	return t
@@ -156,12 +165,12 @@
 
 // readAnswer reads the answer to r, past answers to other requests, and keeps
 // or drops the connection.
-func (s *Server) readAnswer(ctx context.Context, p *pool, c *conn, r *request, t *try, written chan error) {
+func (s *Server) readAnswer(ctx context.Context, p *pool, c *conn, r *request, t *try, body *writer) {
 	clean := true
 	for stray := 0; ; stray++ {
 		resp, err := readFinal(c, r)
 		if err != nil {
-			s.failed(ctx, c, r, t, err, written)
+			s.failed(ctx, c, r, t, err, body)
 			p.drop(c)
 			return
 		}
@@ -181,7 +190,7 @@
 			continue
 		}
 		s.judge(a, t)
-		whole := sent(written)
+		whole := body.sent()
 		if clean && whole && !resp.Close && t.outcome != outcomeUnknown && c.reader.Buffered() == 0 {
 			c.keepFor(a.header.Get("Keep-Alive"))
 			p.put(c, time.Now())
@@ -194,17 +203,27 @@
 
 // sent reports whether the whole request was written. A body that is still on
 // its way ends with its connection.
-func sent(written chan error) bool {
+func (w *writer) sent() bool {
 	timer := time.NewTimer(writerPause)
 	defer timer.Stop()
 	select {
-	case err := <-written:
-		return err == nil
+	case w.err = <-w.done:
+		w.ended = true
+		return w.err == nil
 	case <-timer.C:
 		return false
 	}
 }
 
+// wait returns once nothing is written any more, with the error that ended it.
+func (w *writer) wait() error {
+	if !w.ended {
+		w.err = <-w.done
+		w.ended = true
+	}
+	return w.err
+}
+
 // readFinal reads the head of the next answer that is not informational.
 func readFinal(c *conn, r *request) (*http.Response, error) {
 	for {
@@ -262,10 +281,10 @@
 }
 
 // failed finds the outcome of a request whose answer could not be read.
-func (s *Server) failed(ctx context.Context, c *conn, r *request, t *try, err error, written chan error) {
+func (s *Server) failed(ctx context.Context, c *conn, r *request, t *try, err error, body *writer) {
 	t.err = err
 	_ = c.SetDeadline(aLongTimeAgo) // so that a body still being written ends
-	werr := <-written
+	werr := body.wait()
 	switch {
 	case c.written == 0 && werr != nil:
 		t.outcome, t.reason = unsentOrLeft(ctx), code.BackendUnreachable
