--- a/operator/requests/requests.go
+++ b/operator/requests/requests.go
@@ -220,7 +220,7 @@
 
 // Print writes the story for a person to read.
 func (s *Story) Print(out io.Writer) error {
-	print := func(title string, lines []Line) error {
+	section := func(title string, lines []Line) error {
 		if _, err := fmt.Fprintln(out, title); err != nil {
 			return err
 		}
@@ -232,8 +232,8 @@
 		return nil
 	}
 	return errors.Join(
-		print("what became of "+s.Request, s.Lines),
-		print("what was believed", s.Beliefs),
+		section("what became of "+s.Request, s.Lines),
+		section("what was believed", s.Beliefs),
 		func() error { _, err := fmt.Fprintln(out, "cause:", s.Cause); return err }(),
 	)
 }
--- a/router/direct/conn.go
+++ b/router/direct/conn.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"bronzewind.example/core/tcp"
 )
 
 const (
@@ -75,7 +77,7 @@
 }
 
 func dial(ctx context.Context, address string, deadline time.Time) (*conn, time.Duration, error) {
-	d := net.Dialer{Timeout: dialTimeout, Deadline: deadline, KeepAlive: -1, Control: setUserTimeout}
+	d := net.Dialer{Timeout: dialTimeout, Deadline: deadline, KeepAlive: -1, Control: tcp.UserTimeout(silentLimit)}
 	began := time.Now()
 	raw, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -86,16 +88,6 @@
 	return c, time.Since(began), nil
 }
 
-// setUserTimeout bounds how long sent bytes may stay without acknowledgement,
-// for connections that go silent without a reset.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var inner error
-	err := raw.Control(func(fd uintptr) {
-		inner = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentLimit.Milliseconds()))
-	})
-	return errors.Join(err, inner)
-}
-
 // take returns an unused connection that is still open and has no stray bytes.
 func (p *pool) take(now time.Time) *conn {
 	for {
