--- a/router/direct/exchange_test.go
+++ b/router/direct/exchange_test.go
@@ -263,18 +263,21 @@
 // TestStrayBytesEndTheConnection uses no connection again on which the server
 // sent more than it was asked for.
 func TestStrayBytesEndTheConnection(t *testing.T) {
+	strayed := make(chan struct{}, 1)
 	server := newScript(t, func(c net.Conn, r *http.Request, _ int64) {
 		say(c, 200, r.Header.Get("T-Id"), "good", "T-Signed: s")
-		time.Sleep(10 * time.Millisecond)
 		say(c, 200, r.Header.Get("T-Id"), "again", "T-Signed: s")
+		strayed <- struct{}{}
 	})
 	s := newEntry(t, Route{Attempts: 1}, false, server.listener.Addr().String())
 	for i := range 3 {
 		if w := ask(t, s, "POST", fmt.Sprint("r", i), "x"); w.Code != 200 || w.Body.String() != "good" {
 			t.Errorf("request %d got %d %q", i, w.Code, w.Body.String())
 		}
-		time.Sleep(30 * time.Millisecond)
+		<-strayed
 	}
+	server.mu.Lock()
+	defer server.mu.Unlock()
 	if n := len(server.conns); n != 3 {
 		t.Errorf("%d connections for 3 requests, want 3", n)
 	}
@@ -285,7 +288,9 @@
 func TestCallerWhoLeft(t *testing.T) {
 	for _, idempotent := range []bool{true, false} {
 		broke := make(chan bool, 1)
+		ctx, leave := context.WithCancel(context.Background())
 		server := newScript(t, func(c net.Conn, r *http.Request, _ int64) {
+			leave()
 			_ = c.SetReadDeadline(time.Now().Add(400 * time.Millisecond))
 			_, err := c.Read(make([]byte, 1))
 			netErr, ok := err.(net.Error)
@@ -293,10 +298,8 @@
 			say(c, 200, r.Header.Get("T-Id"), "good", "T-Signed: s")
 		})
 		s := newEntry(t, Route{Idempotent: idempotent, Attempts: 1}, false, server.listener.Addr().String())
-		ctx, leave := context.WithCancel(context.Background())
 		r := httptest.NewRequestWithContext(ctx, "GET", "http://h/x", nil)
 		r.Header.Set("T-Id", "r1")
-		time.AfterFunc(50*time.Millisecond, leave)
 		s.ServeHTTP(httptest.NewRecorder(), r)
 		if got := <-broke; got != idempotent {
 			t.Errorf("idempotent %v: the connection broke: %v", idempotent, got)
