Take no release for the end of a hold until what a resigned granter sent has run out

Change: the age of the last unanswered grant, which a resignation brings, no longer shortens the wait; the new granter waits a whole hold (4 s) before keys move. Test: TestNewGranterTrustsNoRelease fails without it (keys went on at once).

--- a/core/ownership/events.go
+++ b/core/ownership/events.go
@@ -24,12 +24,12 @@
 	}
 
 	// Resigned says that the granter of an epoch has stopped: nothing that it
-	// sent is on its way. A grant that was not answered may still be carried out
-	// late.
+	// sent is on its way. What it sent may still be in force, or carried out
+	// late, for as long as a grant holds.
 	Resigned struct {
 		Epoch uint64
-		// Unanswered is how long ago it sent the last grant that was not answered;
-		// a negative one means that it doesn't know.
+		// Unanswered is how long ago it sent the last grant that was not answered.
+		// It is told for the logs, and shortens no wait.
 		Unanswered time.Duration
 	}
 
--- a/core/ownership/granter.go
+++ b/core/ownership/granter.go
@@ -156,7 +156,7 @@
 	case EpochSeen:
 		g.seen(e, now)
 	case Resigned:
-		g.stops[e.Epoch] = stop{at: now, unanswered: now.Add(-max(0, e.Unanswered))}
+		g.stops[e.Epoch] = stop{at: now, unanswered: now}
 	case Stopped:
 		g.epoch = 0
 	case Confirmed:
--- a/core/ownership/granter_test.go
+++ b/core/ownership/granter_test.go
@@ -10,14 +10,15 @@
 
 // rig drives one granter and answers what it asks for as it is told.
 type rig struct {
-	t       *testing.T
-	g       *Granter
-	now     time.Time
-	servers []Server
-	silent  map[string]bool // servers that answer no grant, by ID
-	moves   []Row           // rows that books moved away from an earlier holder
-	grants  []SendGrant     // that were answered
-	held    bool            // writes are not answered
+	t         *testing.T
+	g         *Granter
+	now       time.Time
+	servers   []Server
+	silent    map[string]bool // servers that answer no grant, by ID
+	moves     []Row           // rows that books moved away from an earlier holder
+	grants    []SendGrant     // that were answered
+	firstMove time.Time       // first grant of a moving row
+	held      bool            // writes are not answered
 }
 
 func newRig(t *testing.T, servers int) *rig {
@@ -61,6 +62,9 @@
 				result = Unanswered
 			} else {
 				r.grants = append(r.grants, effect)
+				if _, moving := r.g.service("s").moves[MoveKey{effect.Fence, effect.Range}]; moving && r.firstMove.IsZero() {
+					r.firstMove = r.now
+				}
 			}
 			r.step(GrantAnswered{Grant: effect, Sent: r.now, Result: result})
 		case SendRelease:
@@ -184,3 +188,25 @@
 	}
 	t.Error("a server that joined has no keys after 2 s")
 }
+
+// TestNewGranterTrustsNoRelease moves nothing from server to server, not even
+// after a release, before what a resigned granter sent has surely run out.
+func TestNewGranterTrustsNoRelease(t *testing.T) {
+	r := newRig(t, 4)
+	r.step(EpochSeen{Epoch: 2, Prior: 1})
+	r.step(Resigned{Epoch: 1, Unanswered: time.Hour})
+	r.step(EpochSeen{Epoch: 3, Prior: 2, Own: true})
+	r.step(Resigned{Epoch: 2, Unanswered: time.Hour})
+	resigned := r.now
+	leaving := append([]Server(nil), r.servers...)
+	leaving[0].Leaving = true
+	r.step(ServersListed{Service: "s", Servers: leaving})
+	r.firstMove = time.Time{}
+	r.run(6 * time.Second)
+	if r.firstMove.IsZero() {
+		t.Fatal("nothing moved in 6 s")
+	}
+	if r.firstMove.Sub(resigned) < testTiming.Hold {
+		t.Errorf("keys went to another server %v after the earlier granter resigned, a grant holds %v", r.firstMove.Sub(resigned), testTiming.Hold)
+	}
+}
