--- a/core/ownership/granter_test.go
+++ b/core/ownership/granter_test.go
@@ -198,10 +198,10 @@
 	r.step(EpochSeen{Epoch: 3, Prior: 2, Own: true})
 	r.step(Resigned{Epoch: 2, Unanswered: time.Hour})
 	resigned := r.now
+	r.firstMove = time.Time{}
 	leaving := append([]Server(nil), r.servers...)
 	leaving[0].Leaving = true
 	r.step(ServersListed{Service: "s", Servers: leaving})
-	r.firstMove = time.Time{}
 	r.run(6 * time.Second)
 	if r.firstMove.IsZero() {
 		t.Fatal("nothing moved in 6 s")
