--- a/core/ownership/events.go
+++ b/core/ownership/events.go
@@ -17,10 +17,15 @@
 	BookRead struct{ Book Book }
 
 	// EpochSeen says that a granter has claimed an epoch, and which one was the
-	// highest before; 0 when there was none. All books written before were read.
+	// highest before; 0 when there was none or it isn't known. All books written
+	// before were read.
 	EpochSeen struct {
 		Epoch, Prior uint64
-		Own          bool // this granter claimed it
+		// Quiet is for how long after the claim granters before Prior may have gone
+		// on sending, as the claimant knew.
+		Quiet time.Duration
+		Own   bool      // this granter claimed it
+		Sent  time.Time // when it sent the claim; only of an own one
 	}
 
 	// Resigned says that the granter of an epoch has stopped: nothing that it
@@ -90,7 +95,8 @@
 		Range    Range
 		Fence    uint64
 		Hold     time.Duration
-		Handover string // of the last holder; "" when there is none
+		Handover string    // of the last holder; "" when there is none
+		Until    time.Time // it arrives by then or never
 	}
 
 	// SendRelease asks for a range to be taken back.
--- a/core/ownership/granter.go
+++ b/core/ownership/granter.go
@@ -34,6 +34,7 @@
 		highest   uint64          // of all epochs seen
 		confirmed time.Time       // no epoch was above at this time
 		stops     map[uint64]stop // by epoch, of earlier granters
+		before    time.Time       // when granters before those are known to have stopped
 		services  map[string]*service
 	}
 
@@ -220,27 +221,42 @@
 }
 
 // seen takes note of a claim. The granter of an earlier epoch may go on renewing
-// for as long as it trusts its last word of the store.
+// for as long as it trusts its last word of the store. Claims may be heard of out
+// of order, and first without what the claimant knew of earlier ones.
 func (g *Granter) seen(e EpochSeen, now time.Time) {
-	if e.Epoch <= g.highest {
-		return
+	if e.Quiet > 0 {
+		g.before = later(g.before, now.Add(min(e.Quiet, g.timing.Trust)))
 	}
-	for _, old := range []uint64{g.highest, e.Prior} {
-		if _, known := g.stops[old]; !known && old > 0 {
-			at := now.Add(g.timing.Trust)
-			g.stops[old] = stop{at: at, unanswered: at}
+	for _, old := range []uint64{g.highest, e.Prior, e.Epoch} {
+		if old > 0 && old < max(g.highest, e.Epoch) {
+			g.supersede(old, now)
 		}
 	}
+	if e.Epoch <= g.highest {
+		return
+	}
 	g.highest = e.Epoch
 	g.epoch = 0
 	if e.Own {
-		g.begin(e.Epoch, now)
+		g.begin(e.Epoch, e.Sent)
 	}
 }
 
-// begin starts to grant.
-func (g *Granter) begin(epoch uint64, now time.Time) {
-	g.epoch, g.confirmed = epoch, now
+// supersede bounds the time at which the granter of an epoch below the highest
+// stops, unless it is known.
+func (g *Granter) supersede(epoch uint64, now time.Time) {
+	if _, known := g.stops[epoch]; known {
+		return
+	}
+	at := now.Add(g.timing.Trust)
+	g.stops[epoch] = stop{at: at, unanswered: at}
+}
+
+// begin starts to grant under an epoch whose claim was sent at a time. No epoch
+// was above when the store took the claim; one may have come before the claim was
+// read back.
+func (g *Granter) begin(epoch uint64, sent time.Time) {
+	g.epoch, g.confirmed = epoch, sent
 	for _, s := range g.services {
 		s.writing = false
 		s.moves = map[MoveKey]*move{}
@@ -250,9 +266,17 @@
 	}
 }
 
+// Quiet returns for how long after now earlier granters may go on sending; 0
+// when they have stopped.
+func (g *Granter) Quiet(now time.Time) time.Duration {
+	at, _ := g.quiet()
+	return max(0, at.Sub(now))
+}
+
 // quiet returns the time from which nothing of earlier granters is sent, and the
 // last time at which one of them may have sent a grant that was not answered.
 func (g *Granter) quiet() (at, unanswered time.Time) {
+	at, unanswered = g.before, g.before
 	for _, s := range g.stops {
 		at, unanswered = later(at, s.at), later(unanswered, s.unanswered)
 	}
--- a/core/ownership/granter_test.go
+++ b/core/ownership/granter_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
 )
 
 var testTiming = Timing{Hold: 3 * time.Second, Renewal: 800 * time.Millisecond, Send: 800 * time.Millisecond, Drift: 0.02, Trust: 6 * time.Second}
@@ -210,3 +212,50 @@
 		t.Errorf("keys went to another server %v after the earlier granter resigned, a grant holds %v", r.firstMove.Sub(resigned), testTiming.Hold)
 	}
 }
+
+// TestClaimReadBackLate takes no more trust from a claim than from any other word
+// of the store: another granter may have claimed since it was sent.
+func TestClaimReadBackLate(t *testing.T) {
+	g := NewGranter(testTiming)
+	sent := time.Unix(1000, 0)
+	g.Step(EpochSeen{Epoch: 1, Own: true, Sent: sent}, sent.Add(5*time.Second))
+	for _, c := range []struct {
+		after time.Duration
+		want  bool
+	}{{5 * time.Second, true}, {testTiming.Trust, false}, {10 * time.Second, false}} {
+		if got := g.MaySend(sent.Add(c.after)); got != c.want {
+			t.Errorf("%v after the claim was sent: may send %t, want %t", c.after, got, c.want)
+		}
+	}
+}
+
+// TestNewGranterKnowsOfAllEarlierOnes starts a granter after three others came in
+// quick succession, of which the first was only turned away by the store and may
+// still renew what it granted.
+func TestNewGranterKnowsOfAllEarlierOnes(t *testing.T) {
+	start := time.Unix(1000, 0)
+	third := NewGranter(testTiming)
+	third.Step(EpochSeen{Epoch: 1}, start)
+	third.Step(EpochSeen{Epoch: 2, Prior: 1, Quiet: third.Quiet(start)}, start)
+	third.Step(Resigned{Epoch: 2}, start)
+	quiet := third.Quiet(start)
+	if diff := cmp.Diff(testTiming.Trust, quiet); diff != "" {
+		t.Errorf("time for which the first may go on (-want +got):\n%s", diff)
+	}
+	for _, c := range []struct {
+		name   string
+		events []Event
+	}{
+		{"the claim alone", nil},
+		{"a datagram before the claim", []Event{EpochSeen{Epoch: 3}}},
+	} {
+		g := NewGranter(testTiming)
+		claimed := start.Add(time.Second)
+		for _, e := range append(c.events, EpochSeen{Epoch: 3, Prior: 2, Quiet: quiet - time.Second}, Resigned{Epoch: 2}, Resigned{Epoch: 3}) {
+			g.Step(e, claimed)
+		}
+		if got := g.Quiet(claimed); got < testTiming.Trust-time.Second {
+			t.Errorf("%s: the first granter is believed to stop in %v, it may go on for %v", c.name, got, testTiming.Trust-time.Second)
+		}
+	}
+}
--- a/core/ownership/history_test.go
+++ b/core/ownership/history_test.go
@@ -77,6 +77,7 @@
 		frozen   bool
 		waiting  []func()
 		claims   uint64
+		sent     time.Time // of the last claim
 	}
 
 	historyServer struct {
@@ -100,6 +101,7 @@
 	noQuietTime
 	falseRelease
 	trustsForever
+	sendsLate
 )
 
 func (e events) Len() int { return len(e) }
@@ -323,7 +325,7 @@
 	for ; g.next < len(records); g.next++ {
 		e := records[g.next]
 		if seen, ok := e.(EpochSeen); ok {
-			seen.Own = seen.Epoch == g.claimed && g.assigned
+			seen.Own, seen.Sent = seen.Epoch == g.claimed && g.assigned, g.sent
 			e = seen
 		}
 		g.step(e)
@@ -408,11 +410,12 @@
 	h := g.history
 	prior := g.highest
 	g.claimed = (prior/100+1)*100 + uint64(g.index)*7 + uint64(h.random.IntN(7))
-	epoch := g.claimed
+	epoch, quiet := g.claimed, g.Quiet(h.now)
+	g.sent = h.now
 	g.calls(func() {
 		if epoch > h.store.epoch {
 			h.store.epoch = epoch
-			h.store.records = append(slices.Clone(h.store.records), EpochSeen{Epoch: epoch, Prior: prior})
+			h.store.records = append(slices.Clone(h.store.records), EpochSeen{Epoch: epoch, Prior: prior, Quiet: quiet})
 			h.note("granter %d has epoch %d", g.index, epoch)
 		}
 	})
@@ -424,7 +427,7 @@
 		case WriteBook:
 			g.write(effect.Book, g.claimed)
 		case SendGrant:
-			g.grant(effect)
+			g.decided(effect)
 		case SendRelease:
 			g.release(effect)
 		case Decided, Granted:
@@ -454,6 +457,25 @@
 	})
 }
 
+// decided sends a grant, now and then only after the process stood still. What
+// would arrive too late is not sent.
+func (g *historyGranter) decided(e SendGrant) {
+	h := g.history
+	if !h.chance(0.03) {
+		g.grant(e)
+		return
+	}
+	h.after(h.between(0, 4*time.Second), func() {
+		g.run(func() {
+			if !g.MaySend(h.now) || !h.now.Before(e.Until) && h.mutant != sendsLate {
+				g.step(GrantAnswered{Grant: e, Sent: h.now, Result: Unsent})
+				return
+			}
+			g.grant(e)
+		})
+	})
+}
+
 func (g *historyGranter) grant(e SendGrant) {
 	h := g.history
 	sent := h.now
@@ -577,9 +599,10 @@
 		first  uint64 // seed
 	}{
 		{"holds believed shorter than they are", shortHold, 1},
-		{"earlier granters believed to stop at once", noQuietTime, 68},
+		{"earlier granters believed to stop at once", noQuietTime, 89},
 		{"releases believed that were not carried out", falseRelease, 1},
-		{"word of the store believed newer than it is", trustsForever, 112},
+		{"word of the store believed newer than it is", trustsForever, 163},
+		{"grants sent long after they were decided", sendsLate, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			for seed := c.first; seed < c.first+100; seed++ {
--- a/router/granting/loop.go
+++ b/router/granting/loop.go
@@ -38,8 +38,9 @@
 	// Store keeps books and claims.
 	Store interface {
 		// Claim makes epoch the highest. An error says nothing of whether it did;
-		// what was claimed is read back.
-		Claim(ctx context.Context, epoch, prior uint64) error
+		// what was claimed is read back. Quiet is for how long granters before prior
+		// may go on sending.
+		Claim(ctx context.Context, epoch, prior uint64, quiet time.Duration) error
 		// Write appends a book under epoch as the write with the given sequence,
 		// from 1. The same write may be tried again. ErrFenced and ErrRefused mean
 		// that this try was not and never will be done.
@@ -50,6 +51,7 @@
 
 	// Orders reach the backend servers.
 	Orders interface {
+		// Grant sends a grant that arrives before ctx ends or never.
 		Grant(ctx context.Context, g ownership.SendGrant) ownership.Result
 		Release(ctx context.Context, r ownership.SendRelease) (ownership.Result, string)
 	}
@@ -156,7 +158,7 @@
 func (l *Loop) take(ctx context.Context, e ownership.Event) {
 	held := l.granter.Epoch()
 	if seen, ok := e.(ownership.EpochSeen); ok {
-		seen.Own = l.Claimed(seen.Epoch) && l.want.Load()
+		seen.Own, seen.Sent = l.Claimed(seen.Epoch) && l.want.Load(), l.claimed
 		e = seen
 		if seen.Epoch > l.highest {
 			l.highest = seen.Epoch
@@ -204,9 +206,9 @@
 func (l *Loop) claim(ctx context.Context) {
 	epoch := (l.highest>>epochRandomBits+1)<<epochRandomBits | rand.Uint64N(1<<epochRandomBits)
 	l.epoch.Store(epoch)
-	prior := l.highest
+	prior, quiet := l.highest, l.granter.Quiet(l.clock.Now())
 	l.calls.Go(func() {
-		if err := l.store.Claim(ctx, epoch, prior); err != nil {
+		if err := l.store.Claim(ctx, epoch, prior, quiet); err != nil {
 			l.log.Event("claim-failed", "epoch", epoch, "reason", err.Error())
 		}
 	})
@@ -266,14 +268,17 @@
 }
 
 // mayOrder is asked right before an order goes out, since the process may have
-// stood still after the decision.
+// stood still after the decision. For the same reason a grant goes out only while
+// it can arrive in time.
 func (l *Loop) mayOrder() bool { return l.clock.Now().UnixNano() < l.trusted.Load() }
 
 func (l *Loop) grant(ctx context.Context, g ownership.SendGrant) {
 	result := ownership.Unsent
 	sent := l.clock.Now()
-	if l.mayOrder() {
-		result = l.orders.Grant(ctx, g)
+	if left := g.Until.Sub(sent); left > 0 && l.mayOrder() {
+		limited, cancel := context.WithTimeout(ctx, left)
+		result = l.orders.Grant(limited, g)
+		cancel()
 	}
 	if result != ownership.Done {
 		l.log.Limited("grant-failed", "service", g.Service, "server", g.Server.ID, "from", g.Range.From, "to", g.Range.To,
@@ -317,8 +322,8 @@
 // that the store refuses has surely not been done and is given up.
 func (l *Loop) writeOne(ctx context.Context, w write, sequence uint64) bool {
 	unanswered := false
+	sent := l.clock.Now() // a later try may get the first one's answer
 	for ctx.Err() == nil {
-		sent := l.clock.Now()
 		err := l.store.Write(ctx, w.epoch, sequence, w.book)
 		if err == nil {
 			l.Post(ctx, ownership.Confirmed{Sent: sent})
