--- a/core/ownership/granter.go
+++ b/core/ownership/granter.go
@@ -55,11 +55,11 @@
 		// Of the latest life under each ID and at each address, when it was born.
 		bornByID      map[string]int64
 		bornByAddress map[string]int64
-		moves   map[MoveKey]*move // of the rows that are moving
-		weights *weights // of the demand measured last
-		work    time.Duration // in a slot of an average server; 0 when not known
-		settled time.Time     // no moves for balance before it
-		planAt  time.Time     // nothing is planned before it
+		moves         map[MoveKey]*move // of the rows that are moving
+		weights       *weights          // of the demand measured last
+		work          time.Duration     // in a slot of an average server; 0 when not known
+		settled       time.Time         // no moves for balance before it
+		planAt        time.Time         // nothing is planned before it
 	}
 
 	// server is what the granter knows of one life.
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -46,7 +46,7 @@
 		rows    []Row
 		targets []*target // in order of name
 		byLife  map[Life]*target
-		next    uint64    // next fence
+		next    uint64 // next fence
 		changed bool
 		log     []Effect
 	}
