A single lost answer moves no keys, and a restart waits for no granter of old

Each book says for how long granters of lower epochs may go on, so a newer book ends the wait. Three tests, each seen to fail without its mend.

--- a/core/ownership/act.go
+++ b/core/ownership/act.go
@@ -117,6 +117,9 @@
 
 func (g *Granter) grant(s *service, to *server, r Row, handover string, now time.Time) SendGrant {
 	to.sent = now
+	if !to.failing.IsZero() && to.retried.IsZero() {
+		to.retried = now
+	}
 	to.flying = append(to.flying, r.Range)
 	return SendGrant{
 		Service: s.name, Server: to.Server, Range: r.Range, Fence: r.Fence,
@@ -137,7 +140,7 @@
 		}
 		ready, looked := due[v]
 		if !looked {
-			ready = len(v.flying) < maxFlying*len(rows) && now.Sub(v.renewed) >= g.timing.Renewal
+			ready = len(v.flying) < maxFlying*len(rows) && now.Sub(v.renewed) >= g.renewal(v)
 			due[v] = ready
 			if ready {
 				v.renewed = now
@@ -154,6 +157,15 @@
 	return out
 }
 
+// renewal returns the time between two renewals at v: less while it fails, to
+// tell soon whether it is gone.
+func (g *Granter) renewal(v *server) time.Duration {
+	if v.failing.IsZero() {
+		return g.timing.Renewal
+	}
+	return grantRetry
+}
+
 func (s *service) grantedTo(r Row) bool {
 	m, ok := s.moves[r.Move()]
 	return ok && m.granted
@@ -175,7 +187,11 @@
 	return !v.gone && !v.Leaving && v.Address != "" && !s.ended(v.Life)
 }
 
-// silent reports whether v has left grants unanswered for too long.
+// silent reports whether v has left grants unanswered for too long, one at least
+// that was sent after the first that failed.
 func (v *server) silent(now time.Time) bool {
-	return !v.failing.IsZero() && now.Sub(v.failing) >= silenceLimit
+	if v.failing.IsZero() || v.retried.IsZero() {
+		return false
+	}
+	return now.Sub(v.failing) >= silenceLimit && now.Sub(v.retried) >= retryAnswer
 }
--- a/core/ownership/book.go
+++ b/core/ownership/book.go
@@ -52,6 +52,7 @@
 		Epoch   uint64 // of the granter that wrote it
 		Fence   uint64 // highest fence given out
 		Written int64  // Unix milliseconds by the writer's clock; only a hint
+		Quiet   int64  // milliseconds from the writing on for which granters of lower epochs may go on sending
 		Rows    []Row  // in order of keys, without overlap
 	}
 )
--- a/core/ownership/delta.go
+++ b/core/ownership/delta.go
@@ -4,7 +4,7 @@
 
 // Since returns the rows of b that differ from old, as a book of their own.
 func (b *Book) Since(old *Book) Book {
-	out := Book{Service: b.Service, Version: b.Version, Epoch: b.Epoch, Fence: b.Fence, Written: b.Written}
+	out := Book{Service: b.Service, Version: b.Version, Epoch: b.Epoch, Fence: b.Fence, Written: b.Written, Quiet: b.Quiet}
 	for _, r := range b.Rows {
 		was, ok := old.Lookup(r.From)
 		if !ok || was.Range != r.Range || !was.same(r) {
@@ -22,7 +22,7 @@
 		rows = append(rows, r.without(delta.Rows)...)
 	}
 	out := b.WithRows(rows)
-	out.Version, out.Epoch, out.Fence, out.Written = delta.Version, delta.Epoch, delta.Fence, delta.Written
+	out.Version, out.Epoch, out.Fence, out.Written, out.Quiet = delta.Version, delta.Epoch, delta.Fence, delta.Written, delta.Quiet
 	return out
 }
 
--- a/core/ownership/encode.go
+++ b/core/ownership/encode.go
@@ -18,6 +18,7 @@
 		Lives   []Life
 		Rows    []encodedRow
 		Written int64
+		Quiet   int64
 	}
 
 	encodedRow struct {
@@ -40,7 +41,7 @@
 
 // Encode returns b as it is stored.
 func (b *Book) Encode() ([]byte, error) {
-	out := encodedBook{Service: b.Service, Version: b.Version, Epoch: b.Epoch, Fence: b.Fence, Written: b.Written}
+	out := encodedBook{Service: b.Service, Version: b.Version, Epoch: b.Epoch, Fence: b.Fence, Written: b.Written, Quiet: b.Quiet}
 	places := map[Life]int{}
 	place := func(l Life) int {
 		n, ok := places[l]
@@ -67,7 +68,7 @@
 	if err := cbor.Unmarshal(data, &in); err != nil {
 		return Book{}, fmt.Errorf("book: %w", err)
 	}
-	out := Book{Service: in.Service, Version: in.Version, Epoch: in.Epoch, Fence: in.Fence, Written: in.Written}
+	out := Book{Service: in.Service, Version: in.Version, Epoch: in.Epoch, Fence: in.Fence, Written: in.Written, Quiet: in.Quiet}
 	last := -1
 	for _, r := range in.Rows {
 		if r.From > r.To || r.To >= KeyCount || int(r.From) <= last {
--- a/core/ownership/events.go
+++ b/core/ownership/events.go
@@ -21,8 +21,8 @@
 	// before were read.
 	EpochSeen struct {
 		Epoch, Prior uint64
-		// Quiet is for how long after the claim granters before Prior may have gone
-		// on sending, as the claimant knew.
+		// Quiet is for how long after the claim granters of epochs below Prior may
+		// have gone on sending, as the claimant knew.
 		Quiet time.Duration
 		Own   bool      // this granter claimed it
 		Sent  time.Time // when it sent the claim; only of an own one
--- a/core/ownership/granter.go
+++ b/core/ownership/granter.go
@@ -34,7 +34,7 @@
 		highest   uint64          // of all epochs seen
 		confirmed time.Time       // no epoch was above at this time
 		stops     map[uint64]stop // by epoch, of earlier granters
-		before    time.Time       // when granters before those are known to have stopped
+		older     older
 		services  map[string]*service
 	}
 
@@ -44,6 +44,12 @@
 		unanswered time.Time // last grant that was not answered; at the latest at
 	}
 
+	// older says when all granters of epochs below one have stopped.
+	older struct {
+		below uint64
+		at    time.Time
+	}
+
 	service struct {
 		name    string
 		book    Book // last one written
@@ -71,7 +77,9 @@
 		unanswered time.Time // last grant that may have arrived and was not answered
 		flying     []Range   // of the grants that were not answered yet
 		renewed    time.Time // last time that renewals were sent
+		answered   time.Time // when the newest of the grants that were answered was sent
 		failing    time.Time // since when no grant was answered; zero while they are
+		retried    time.Time // first grant sent since then; zero while there is none
 	}
 
 	// move is the progress of a row from its earlier holders to its owner.
@@ -121,6 +129,10 @@
 	// keys go elsewhere.
 	silenceLimit = 400 * time.Millisecond
 
+	// retryAnswer is how long the answer to a grant sent after one that failed may
+	// take before the server counts as silent: a single answer may be lost.
+	retryAnswer = 200 * time.Millisecond
+
 	// finishDelay is how long a granted move may wait for others to be written
 	// down with it.
 	finishDelay = 400 * time.Millisecond
@@ -158,7 +170,7 @@
 func (g *Granter) Step(e Event, now time.Time) []Effect {
 	switch e := e.(type) {
 	case BookRead:
-		g.read(e.Book)
+		g.read(e.Book, now)
 	case EpochSeen:
 		g.seen(e, now)
 	case Resigned:
@@ -229,7 +241,8 @@
 
 // read takes a book of the store; books of an older epoch or version say
 // nothing new.
-func (g *Granter) read(b Book) {
+func (g *Granter) read(b Book, now time.Time) {
+	g.stoppedBelow(b.Epoch, now.Add(time.Duration(b.Quiet)*time.Millisecond))
 	s := g.service(b.Service)
 	newer := b.Epoch > s.book.Epoch || b.Epoch == s.book.Epoch && b.Version > s.book.Version
 	if newer {
@@ -241,9 +254,7 @@
 // for as long as it trusts its last word of the store. Claims may be heard of out
 // of order, and first without what the claimant knew of earlier ones.
 func (g *Granter) seen(e EpochSeen, now time.Time) {
-	if e.Quiet > 0 {
-		g.before = later(g.before, now.Add(min(e.Quiet, g.timing.Trust)))
-	}
+	g.stoppedBelow(e.Prior, now.Add(e.Quiet))
 	for _, old := range []uint64{g.highest, e.Prior, e.Epoch} {
 		if old > 0 && old < max(g.highest, e.Epoch) {
 			g.supersede(old, now)
@@ -259,6 +270,14 @@
 	}
 }
 
+// stoppedBelow takes another granter's word on when those of epochs below one
+// have stopped. Word on a higher epoch has more behind it and replaces the rest.
+func (g *Granter) stoppedBelow(epoch uint64, at time.Time) {
+	if epoch > g.older.below || epoch == g.older.below && at.Before(g.older.at) {
+		g.older = older{below: epoch, at: at}
+	}
+}
+
 // supersede bounds the time at which the granter of an epoch below the highest
 // stops, unless it is known.
 func (g *Granter) supersede(epoch uint64, now time.Time) {
@@ -278,7 +297,7 @@
 		s.writing = false
 		s.moves = map[MoveKey]*move{}
 		for _, v := range s.servers {
-			v.flying, v.renewed, v.failing = nil, time.Time{}, time.Time{}
+			v.flying, v.renewed, v.failing, v.retried = nil, time.Time{}, time.Time{}, time.Time{}
 		}
 	}
 }
@@ -293,8 +312,11 @@
 // quiet returns the time from which nothing of earlier granters is sent, and the
 // last time at which one of them may have sent a grant that was not answered.
 func (g *Granter) quiet() (at, unanswered time.Time) {
-	at, unanswered = g.before, g.before
-	for _, s := range g.stops {
+	at, unanswered = g.older.at, g.older.at
+	for epoch, s := range g.stops {
+		if epoch < g.older.below {
+			continue
+		}
 		at, unanswered = later(at, s.at), later(unanswered, s.unanswered)
 	}
 	return at, unanswered
@@ -387,9 +409,11 @@
 	v.landed(e.Grant.Range)
 	switch e.Result {
 	case Done:
-		v.failing = time.Time{}
+		v.failing, v.retried = time.Time{}, time.Time{}
+		v.answered = later(v.answered, e.Sent)
 	case Unsent, Unanswered:
-		if v.failing.IsZero() {
+		// One that was given up says nothing when the server has answered a later one.
+		if v.failing.IsZero() && e.Sent.After(v.answered) {
 			v.failing = now
 		}
 		if e.Result == Unanswered && e.Sent.After(v.unanswered) {
--- a/core/ownership/granter_test.go
+++ b/core/ownership/granter_test.go
@@ -259,3 +259,67 @@
 		}
 	}
 }
+
+// TestRestartWaitsForNoGranterOfOld replays a whole fleet that lost power long
+// after the role last changed hands: the granter that comes up needs to wait out
+// the last one alone, and that one has been replaced by a process that told so.
+func TestRestartWaitsForNoGranterOfOld(t *testing.T) {
+	now := time.Unix(1000, 0)
+	book := Book{Service: "s", Version: 9, Epoch: 2, Quiet: 0}
+	claim := EpochSeen{Epoch: 2, Prior: 1, Quiet: testTiming.Trust}
+	for _, c := range []struct {
+		name  string
+		order []Event
+	}{
+		{"book first", []Event{BookRead{Book: book}, claim}},
+		{"claim first", []Event{claim, BookRead{Book: book}}},
+	} {
+		g := NewGranter(testTiming)
+		for _, e := range append(c.order, Resigned{Epoch: 2}, EpochSeen{Epoch: 3, Prior: 2, Own: true, Sent: now}) {
+			g.Step(e, now)
+		}
+		if diff := cmp.Diff(time.Duration(0), g.Quiet(now)); diff != "" {
+			t.Errorf("%s: wait for earlier granters (-want +got):\n%s", c.name, diff)
+		}
+	}
+}
+
+// TestOneLostAnswerMovesNothing gives a grant up after a later one was answered:
+// the server is there, and the next renewal is due only after silenceLimit.
+func TestOneLostAnswerMovesNothing(t *testing.T) {
+	r := newRig(t, 6)
+	var lost SendGrant
+	for _, g := range r.grants {
+		if g.Server.ID == "s0" {
+			lost = g
+		}
+	}
+	given := GrantAnswered{Grant: lost, Sent: r.now.Add(-testTiming.Send), Result: Unanswered}
+	for range 5 {
+		r.step(given)
+		r.run(testTiming.Renewal)
+		given.Sent = r.now.Add(-testTiming.Send)
+	}
+	if len(r.moves) > 0 {
+		t.Errorf("%d rows moved although the server has answered every later grant", len(r.moves))
+	}
+}
+
+// TestOneResetMovesNothing resets the connection of one renewal: the next one is
+// sent soon, and answered.
+func TestOneResetMovesNothing(t *testing.T) {
+	r := newRig(t, 6)
+	s0 := r.g.service("s").server(r.servers[0].Life)
+	for range 100 {
+		before := s0.unanswered
+		r.silent["s0"] = true
+		r.run(50 * time.Millisecond)
+		if s0.unanswered.After(before) {
+			r.silent["s0"] = false
+			r.run(testTiming.Renewal)
+		}
+	}
+	if len(r.moves) > 0 {
+		t.Errorf("%d rows moved although the server answered each second grant", len(r.moves))
+	}
+}
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -74,7 +74,7 @@
 	}
 	book := s.book.WithRows(p.rows)
 	book.Rows = merge(book.Rows)
-	book.Epoch, book.Fence = g.epoch, p.next-1
+	book.Epoch, book.Fence, book.Quiet = g.epoch, p.next-1, g.Quiet(now).Milliseconds()
 	s.wanted, s.writing = book, true
 	return append(p.log, WriteBook{Book: book})
 }
