--- a/router/datagram/datagram.go
+++ b/router/datagram/datagram.go
@@ -3,10 +3,13 @@
 package datagram
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
 	"errors"
 	"expvar"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 
@@ -16,8 +19,18 @@
 )
 
 const (
-	maxBytes = 16 << 10
+	maxBytes = 16 << 10 // of one datagram
 	maxBusy  = 64
+
+	// Messages over packAbove bytes are compressed, and may unpack to maxUnpacked.
+	packAbove   = 1 << 10
+	maxUnpacked = 256 << 10
+)
+
+// The first byte of a datagram says how the rest is written.
+const (
+	plain byte = iota
+	packed
 )
 
 type (
@@ -106,7 +119,7 @@
 
 // SendAll sends m to all addresses; each one may lose it.
 func (b *Bus) SendAll(addresses []string, m Message) error {
-	data, err := cbor.Marshal(m)
+	data, err := encode(m)
 	if err != nil {
 		return fmt.Errorf("datagram: %w", err)
 	}
@@ -127,6 +140,54 @@
 	return errors.Join(errs...)
 }
 
+// encode returns m as it is sent.
+func encode(m Message) ([]byte, error) {
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	var out bytes.Buffer
+	if len(data) <= packAbove {
+		out.WriteByte(plain)
+		out.Write(data)
+		return out.Bytes(), nil
+	}
+	out.WriteByte(packed)
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+// decode reads a datagram.
+func decode(data []byte) (Message, error) {
+	var m Message
+	if len(data) == 0 {
+		return m, io.ErrUnexpectedEOF
+	}
+	rest := data[1:]
+	switch data[0] {
+	case plain:
+	case packed:
+		r := flate.NewReader(bytes.NewReader(rest))
+		defer r.Close()
+		var err error
+		if rest, err = io.ReadAll(io.LimitReader(r, maxUnpacked)); err != nil {
+			return m, err
+		}
+	default:
+		return m, fmt.Errorf("datagram: unknown form %d", data[0])
+	}
+	return m, cbor.Unmarshal(rest, &m)
+}
+
 // Run hands received messages to take until ctx ends; ones that can't be read
 // are left out. It closes the bus and reports its end on done.
 func (b *Bus) Run(ctx context.Context, take func(Message), done chan<- error) {
@@ -143,8 +204,8 @@
 			done <- fmt.Errorf("datagram: %w", err)
 			return
 		}
-		var m Message
-		if err := cbor.Unmarshal(buffer[:n], &m); err != nil {
+		m, err := decode(buffer[:n])
+		if err != nil {
 			continue // from something that is no instance
 		}
 		take(m)
