--- a/router/datagram/datagram.go
+++ b/router/datagram/datagram.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -23,7 +24,8 @@
 	maxBusy  = 64
 
 	// Messages over packAbove bytes are compressed, and may unpack to maxUnpacked.
-	packAbove   = 1 << 10
+	// Reports of demand, of which the granter gets hundreds a second, stay below.
+	packAbove   = 6 << 10
 	maxUnpacked = 256 << 10
 )
 
@@ -98,6 +100,15 @@
 	}
 )
 
+// packers keeps compressors, which take much memory to set up.
+var packers = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(nil, flate.BestSpeed)
+	if err != nil {
+		panic(err) // only for a level that doesn't exist
+	}
+	return w
+}}
+
 // Listen opens the bus at address.
 func Listen(address string) (*Bus, error) {
 	a, err := netip.ParseAddrPort(address)
@@ -153,10 +164,9 @@
 		return out.Bytes(), nil
 	}
 	out.WriteByte(packed)
-	w, err := flate.NewWriter(&out, flate.BestSpeed)
-	if err != nil {
-		return nil, err
-	}
+	w := packers.Get().(*flate.Writer)
+	defer packers.Put(w)
+	w.Reset(&out)
 	if _, err := w.Write(data); err != nil {
 		return nil, err
 	}
