--- a/router/datagram/datagram.go
+++ b/router/datagram/datagram.go
@@ -23,9 +23,12 @@
 	maxBytes = 16 << 10 // of one datagram
 	maxBusy  = 64
 
-	// Messages over packAbove bytes are compressed, and may unpack to maxUnpacked.
-	// Reports of demand, of which the granter gets hundreds a second, stay below.
-	packAbove   = 6 << 10
+	// maxRecordBytes is the most that records take in one datagram. More, sent to
+	// a hundred instances at once, fills a link of 10 Mbit/s for a second.
+	maxRecordBytes = 5 << 10
+
+	// Records over packAbove bytes are compressed, and may unpack to maxUnpacked.
+	packAbove   = 1 << 10
 	maxUnpacked = 256 << 10
 )
 
@@ -100,6 +103,9 @@
 	}
 )
 
+// ErrLargeRecords means that records are too large to be sent.
+var ErrLargeRecords = errors.New("datagram: the records are too large")
+
 // packers keeps compressors, which take much memory to set up.
 var packers = sync.Pool{New: func() any {
 	w, err := flate.NewWriter(nil, flate.BestSpeed)
@@ -134,6 +140,9 @@
 	if err != nil {
 		return fmt.Errorf("datagram: %w", err)
 	}
+	if len(m.Records) > 0 && len(data) > maxRecordBytes {
+		return fmt.Errorf("%w: %d bytes", ErrLargeRecords, len(data))
+	}
 	if len(data) > maxBytes {
 		return fmt.Errorf("datagram: a message of %d bytes is too long", len(data))
 	}
@@ -158,7 +167,7 @@
 		return nil, err
 	}
 	var out bytes.Buffer
-	if len(data) <= packAbove {
+	if len(m.Records) == 0 || len(data) <= packAbove {
 		out.WriteByte(plain)
 		out.Write(data)
 		return out.Bytes(), nil
