Connections to one server divided so that those of all instances fit

Change: an even share under 3 is not exceeded; a request over the limit waits up to 250 ms for a connection, and the instance's own limit no longer counts as a failure of the server.

--- a/router/direct/conn.go
+++ b/router/direct/conn.go
@@ -26,6 +26,10 @@
 
 	// silentLimit ends a connection on which sent bytes are not acknowledged.
 	silentLimit = 900 * time.Millisecond
+
+	// connWait is how long a request waits for a connection when the instance may
+	// open no more.
+	connWait = 250 * time.Millisecond
 )
 
 type (
@@ -36,6 +40,9 @@
 		open    int     // guarded by mu
 		dialled uint64  // guarded by mu
 		closed  bool    // guarded by mu
+		// freed holds one when a connection was kept or closed since a request began
+		// to wait for it; nil before the first waits; guarded by mu.
+		freed chan struct{}
 	}
 
 	// conn is a connection that carries one request at a time.
@@ -52,30 +59,79 @@
 
 var errConnLimit = errors.New("as many connections to the backend server are open as this instance may have")
 
-// get returns an open connection; limit bounds how many there are. The second
-// result is the time that opening it took; 0 for one that was used before.
+// get returns an open connection; limit bounds how many there are, and a request
+// over it waits a little for one. The second result is the time that opening it
+// took; 0 for one that was used before.
 func (p *pool) get(ctx context.Context, address string, limit int, deadline time.Time) (*conn, time.Duration, error) {
-	if c := p.take(time.Now()); c != nil {
-		return c, 0, nil
+	until := time.Now().Add(connWait)
+	if deadline.Before(until) {
+		until = deadline
 	}
-	p.mu.Lock()
-	if p.open >= limit {
-		p.mu.Unlock()
-		return nil, 0, errConnLimit
+	for {
+		if c := p.take(time.Now()); c != nil {
+			return c, 0, nil
+		}
+		freed := p.reserve(limit)
+		if freed == nil {
+			break
+		}
+		if !awaitConn(ctx, freed, time.Until(until)) {
+			return nil, 0, errConnLimit
+		}
 	}
-	p.open++
-	p.dialled++
-	p.mu.Unlock()
 	c, took, err := dial(ctx, address, deadline)
 	if err != nil {
 		p.mu.Lock()
 		p.open--
+		p.free()
 		p.mu.Unlock()
 		return nil, 0, err
 	}
 	return c, took, nil
 }
 
+// reserve counts a connection that is about to be opened; where there are limit
+// already, it returns what tells that one was freed.
+func (p *pool) reserve(limit int) <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open < limit {
+		p.open++
+		p.dialled++
+		return nil
+	}
+	if p.freed == nil {
+		p.freed = make(chan struct{}, 1)
+	}
+	return p.freed
+}
+
+// free wakes one request that waits for a connection; p.mu is held.
+func (p *pool) free() {
+	select {
+	case p.freed <- struct{}{}:
+	default: // nobody waits, or one is woken already
+	}
+}
+
+// awaitConn waits for a freed connection; it returns false when limit passed or
+// the caller left.
+func awaitConn(ctx context.Context, freed <-chan struct{}, limit time.Duration) bool {
+	if limit <= 0 {
+		return false
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return false
+	case <-freed:
+		return true
+	}
+}
+
 func dial(ctx context.Context, address string, deadline time.Time) (*conn, time.Duration, error) {
 	d := net.Dialer{Timeout: dialTimeout, Deadline: deadline, KeepAlive: -1, Control: tcp.UserTimeout(silentLimit)}
 	began := time.Now()
@@ -99,6 +155,9 @@
 		}
 		c := p.idle[n-1]
 		p.idle = p.idle[:n-1]
+		if n > 1 {
+			p.free() // for another that waits
+		}
 		p.mu.Unlock()
 		if now.Sub(c.unused) < c.keep && c.quiet() {
 			c.reused, c.written, c.read = true, 0, 0
@@ -116,6 +175,7 @@
 	closed := p.closed
 	if !closed {
 		p.idle = append(p.idle, c)
+		p.free()
 	}
 	p.mu.Unlock()
 	if closed {
@@ -129,6 +189,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open--
+	p.free()
 }
 
 // sweep closes connections that were unused for as long as their server keeps
--- a/router/direct/decisions_test.go
+++ b/router/direct/decisions_test.go
@@ -450,3 +450,39 @@
 		t.Errorf("wait %v a minute later", v.wait)
 	}
 }
+
+// TestConnectionsOfAllInstances replays a hot key: all instances open as many
+// connections to its one owner as they may.
+func TestConnectionsOfAllInstances(t *testing.T) {
+	for _, c := range []struct {
+		limit, instances, want int
+	}{
+		{46, 8, 17},
+		{110, 8, 41},
+		{130, 89, 1},
+		{450, 65, 20},
+		{50, 200, 1},
+		{10, 1, 10},
+	} {
+		got := connectionsEach(c.limit, c.instances)
+		if diff := cmp.Diff(c.want, got); diff != "" {
+			t.Errorf("%d connections, %d instances (-want +got):\n%s", c.limit, c.instances, diff)
+		}
+		if even := c.limit / c.instances; even >= 1 && even < leastSpread && got*c.instances > c.limit {
+			t.Errorf("%d instances may open %d connections each, the server takes %d", c.instances, got, c.limit)
+		}
+	}
+}
+
+// TestOwnLimitIsNoFailureOfTheServer goes on using a server to which the instance
+// may open no more connections.
+func TestOwnLimitIsNoFailureOfTheServer(t *testing.T) {
+	var h health
+	now := time.Unix(1000, 0)
+	for range 10 {
+		h.observe(seen{outcome: outcomeUnsent, full: true}, now)
+	}
+	if h.out(now) || h.share(now) > 0 {
+		t.Errorf("out %t, share of failures %v", h.out(now), h.share(now))
+	}
+}
--- a/router/direct/exchange.go
+++ b/router/direct/exchange.go
@@ -90,6 +90,7 @@
 		answer  *answer // of outcomeDone, and of outcomeNotRun
 		reason  code.Code
 		err     error
+		full    bool // the instance has as many connections to the server as it may
 		crash   bool // the connection broke before any byte of an answer
 		report  LoadReport
 		took    time.Duration
@@ -115,7 +116,7 @@
 	began := time.Now()
 	c, dialled, err := b.pool.get(ctx, info.Address, s.connections(info.Service), r.deadline)
 	if err != nil {
-		return try{outcome: unsentOrLeft(ctx), reason: code.BackendUnreachable, err: err}
+		return try{outcome: unsentOrLeft(ctx), reason: code.BackendUnreachable, err: err, full: errors.Is(err, errConnLimit)}
 	}
 	t := try{dialled: dialled, reused: c.reused}
 	_ = c.SetDeadline(r.deadline) // a failure shows at the write
--- a/router/direct/fleet.go
+++ b/router/direct/fleet.go
@@ -15,6 +15,11 @@
 	// connectionShare is how many times its even share of a server's connections
 	// an instance may open, since callers are spread unevenly.
 	connectionShare = 3
+
+	// leastSpread is the even share from which on uneven callers may have more.
+	// Below it all instances together could open several times what a server takes
+	// once a key of its is hot, and the server resets what is over its limit.
+	leastSpread = 3
 )
 
 type (
@@ -163,8 +168,16 @@
 	if limit <= 0 {
 		return 1 << 10
 	}
-	share := connectionShare * limit / int(s.instances.Load())
-	return min(limit, max(4, share))
+	return connectionsEach(limit, int(s.instances.Load()))
+}
+
+// connectionsEach divides the connections that a server takes among instances.
+func connectionsEach(limit, instances int) int {
+	even := limit / instances
+	if even < leastSpread {
+		return max(1, even)
+	}
+	return min(limit, connectionShare*limit/instances)
 }
 
 // Sweep closes connections that were unused for too long.
--- a/router/direct/health.go
+++ b/router/direct/health.go
@@ -26,6 +26,9 @@
 
 // observe takes in the end of a request.
 func (h *health) observe(e seen, now time.Time) {
+	if e.full {
+		return // it says nothing of the server
+	}
 	bad := 0.0
 	switch {
 	case e.outcome == outcomeUnsent:
--- a/router/direct/load.go
+++ b/router/direct/load.go
@@ -33,6 +33,7 @@
 		usual   time.Duration // time in a slot that the kind takes on average; 0 when unknown
 		report  LoadReport
 		status  int
+		full    bool // nothing was sent, for want of a connection that the instance may open
 	}
 
 	// load is what an instance knows of the work at one backend server.
--- a/router/direct/server.go
+++ b/router/direct/server.go
@@ -306,7 +306,7 @@
 	b.begin(time.Now())
 	t := s.exchange(ctx, b, r)
 	now := time.Now()
-	e := seen{outcome: t.outcome, took: t.took, usual: s.usual.of(p.route), report: t.report}
+	e := seen{outcome: t.outcome, took: t.took, usual: s.usual.of(p.route), report: t.report, full: t.full}
 	if t.answer != nil {
 		e.status = t.answer.status
 	}
