--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 MODULES := core router operator lab platform
 TOOLS   := $(CURDIR)/.bin
 
-.PHONY: help build test format lint vet race histories soak demo flood faults delay tour capacity
+.PHONY: help build test format lint vet race histories soak demo fault-soak flood faults delay tour capacity
 
 help: ## list the tasks
 	@awk -F ':.*## ' '/^[a-z-]+:.*## /{printf "%-10s %s\n", $$1, $$2}' Makefile
@@ -42,6 +42,9 @@
 soak: ## check more histories: SEEDS=20000 FIRST=1000000
 	@cd core && go test -count=1 -timeout 6h ./control -run TestHistories -seeds $(SEEDS) -first-seed $(FIRST)
 
+fault-soak: ## real processes under faults: SEEDS=50 FIRST=1
+	@cd platform && go test -count=1 -v -timeout 3h ./soak -run TestSoak -seeds $(SEEDS) -first-seed $(FIRST)
+
 demo: build ## run the main job on loopback
 	@scripts/demo
 
