--- a/core/ownership/succession.go
+++ b/core/ownership/succession.go
@@ -90,4 +90,3 @@
 	}
 	return now.Sub(last), settled
 }
-
