A granter's own book delays its moves no longer

The new granter read back a book that it had written before the earlier one resigned, and took its own word of then, six seconds of trust, for newer than the resignation.

Change: own books say nothing on earlier granters. TestOwnBookDelaysNothing.

--- a/core/ownership/granter.go
+++ b/core/ownership/granter.go
@@ -242,7 +242,9 @@
 // read takes a book of the store; books of an older epoch or version say
 // nothing new.
 func (g *Granter) read(b Book, now time.Time) {
-	g.stoppedBelow(b.Epoch, now.Add(time.Duration(b.Quiet)*time.Millisecond))
+	if b.Epoch != g.epoch { // its own books say what it knew when it wrote them
+		g.stoppedBelow(b.Epoch, now.Add(time.Duration(b.Quiet)*time.Millisecond))
+	}
 	s := g.service(b.Service)
 	newer := b.Epoch > s.book.Epoch || b.Epoch == s.book.Epoch && b.Version > s.book.Version
 	if newer {
--- a/core/ownership/granter_test.go
+++ b/core/ownership/granter_test.go
@@ -323,3 +323,18 @@
 		t.Errorf("%d rows moved although the server answered each second grant", len(r.moves))
 	}
 }
+
+// TestOwnBookDelaysNothing reads back a book that was written before the earlier
+// granter resigned.
+func TestOwnBookDelaysNothing(t *testing.T) {
+	g := NewGranter(testTiming)
+	now := time.Unix(1000, 0)
+	g.Step(EpochSeen{Epoch: 1}, now)
+	g.Step(EpochSeen{Epoch: 2, Prior: 1, Own: true, Sent: now}, now)
+	book := Book{Service: "s", Version: 1, Epoch: 2, Quiet: g.Quiet(now).Milliseconds()}
+	g.Step(BookRead{Book: book}, now)
+	g.Step(Resigned{Epoch: 1}, now)
+	if diff := cmp.Diff(time.Duration(0), g.Quiet(now)); diff != "" {
+		t.Errorf("wait for the granter that resigned (-want +got):\n%s", diff)
+	}
+}
