Keys of a silent server are not renewed, whether or not they can be moved

The server crashed while the store was away; its keys were to move, no book could be written, so renewals under the old fence went on, and reached the life that came after it.

Change: renewals leave out servers that are silent. The test fails without it.

--- a/core/ownership/act.go
+++ b/core/ownership/act.go
@@ -128,14 +128,17 @@
 }
 
 // renew renews what is held, one call for each fence and stretch of keys. A row
-// that is about to move is not renewed.
+// that is about to move is not renewed, nor what a server holds that has gone
+// silent: when it answers again, another life may have taken its address, and a
+// grant doesn't name the life that it is for.
 func (g *Granter) renew(s *service, now time.Time) []Effect {
 	var out []Effect
 	due := map[*server]bool{}
 	rows := merge(s.book.Rows)
+	unreachable := s.unreachable(now)
 	for _, r := range rows {
 		v := s.server(r.Owner)
-		if v.Address == "" || r.Moving && !s.grantedTo(r) {
+		if v.Address == "" || unreachable[v.Life] || r.Moving && !s.grantedTo(r) {
 			continue
 		}
 		ready, looked := due[v]
--- a/core/ownership/granter_test.go
+++ b/core/ownership/granter_test.go
@@ -21,6 +21,7 @@
 	grants    []SendGrant     // that were answered
 	firstMove time.Time       // first grant of a moving row
 	held      bool            // writes are not answered
+	refused   bool            // writes are refused
 }
 
 func newRig(t *testing.T, servers int) *rig {
@@ -56,7 +57,7 @@
 				}
 			}
 			if !r.held {
-				r.step(BookWritten{Service: "s", Version: effect.Book.Version})
+				r.step(BookWritten{Service: "s", Version: effect.Book.Version, Failed: r.refused})
 			}
 		case SendGrant:
 			result := Done
@@ -338,3 +339,29 @@
 		t.Errorf("wait for the granter that resigned (-want +got):\n%s", diff)
 	}
 }
+
+// TestSilentServerIsNotRenewedInAnOutage replays a server that crashes while the
+// store takes no book, and comes back at the same address as another life, of
+// which the list does not tell yet: that life must not be granted keys under the
+// fence of the former one.
+func TestSilentServerIsNotRenewedInAnOutage(t *testing.T) {
+	r := newRig(t, 6)
+	r.refused = true
+	r.silent["s0"] = true
+	r.run(3 * time.Second)
+	r.silent["s0"] = false
+	r.grants = nil
+	r.run(4 * time.Second)
+	for _, g := range r.grants {
+		if g.Server.ID == "s0" {
+			t.Fatalf("keys %d to %d are renewed under fence %d at an address that had gone silent", g.Range.From, g.Range.To, g.Fence)
+		}
+	}
+	r.refused = false
+	r.run(2 * time.Second)
+	for _, row := range r.g.service("s").book.Rows {
+		if row.Owner.ID == "s0" {
+			t.Errorf("keys %d to %d stay with the silent server", row.From, row.To)
+		}
+	}
+}
