router/peer: unread uploads no longer stop all others

Cause: QUIC's connection window starts at 768 KiB and grows only while bytes are read. Two uploads whose backend servers stall fill it, and then neither the first byte of another upload nor the head of other bulk work gets through until the deadline. Goroutine dumps of TestSmallBesideBulk beside seven copies of itself show it: 12 uploads blocked in SendStream.Write, and for each of them the dispatcher waiting for its first byte. A second cause showed once the first was mended: each of 20 requests dialled for itself, and under load some of the 20 handshakes took longer than the 300 ms that a dial has.

Change: the connection window is 16 MiB from the start, that of a stream 256 KiB, and a dispatcher has at most 56 bodies of a connection open, so that they leave an eighth of the window even if none is read. Requests that need the same connection share one dial.

--- a/router/peer/bulk_test.go
+++ b/router/peer/bulk_test.go
@@ -73,10 +73,19 @@
 }
 
 func ask(client *Client, to *route.Server, method string, body io.Reader, length int64) (string, error) {
+	return askRank(client, to, config.Normal, method, body, length)
+}
+
+// askBulk sends work without a body over the connection for bulk work.
+func askBulk(client *Client, to *route.Server) (string, error) {
+	return askRank(client, to, config.Bulk, http.MethodGet, nil, 0)
+}
+
+func askRank(client *Client, to *route.Server, rank config.Rank, method string, body io.Reader, length int64) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	a, err := client.Do(ctx, to, &dispatch.Request{
-		Service: "tins", Kind: &config.Kind{Name: "any", Rank: config.Normal}, Method: method, RequestURI: "/tins/1",
+		Service: "tins", Kind: &config.Kind{Name: "any", Rank: rank}, Method: method, RequestURI: "/tins/1",
 		Body: body, Length: length, Deadline: time.Now().Add(20 * time.Second),
 	})
 	if err != nil {
@@ -142,3 +151,66 @@
 	clear(p)
 	return len(p), nil
 }
+
+// filledBody reports on filled once filledBytes of it were read.
+type filledBody struct {
+	io.Reader
+	read   int
+	filled chan struct{}
+}
+
+const filledBytes = 128 << 10
+
+// Read implements io.Reader.
+func (b *filledBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if b.read < filledBytes && b.read+n >= filledBytes {
+		close(b.filled)
+	}
+	b.read += n
+	return n, err
+}
+
+// TestUnreadUploadsLeaveWindow starts uploads one after the other, each once the
+// bytes of the one before stand unread in the window of the connection, as when the
+// backend servers of a dispatcher stall. Uploads up to maxOpenBodies still get
+// through, one more waits without taking any of the window, and bulk work without a
+// long body passes on the same connection.
+func TestUnreadUploadsLeaveWindow(t *testing.T) {
+	const uploadBytes = 512 << 10
+	s := &stalled{release: make(chan struct{})}
+	s.began.Add(maxOpenBodies)
+	client, to := newPair(t, s)
+	results := make(chan error, maxOpenBodies+1)
+	start := func() *filledBody {
+		body := &filledBody{Reader: io.LimitReader(zeros{}, uploadBytes), filled: make(chan struct{})}
+		go func() {
+			_, err := ask(client, to, http.MethodPut, body, uploadBytes)
+			results <- err
+		}()
+		return body
+	}
+	for i := range maxOpenBodies {
+		body := start()
+		select {
+		case <-body.filled:
+		case err := <-results:
+			t.Fatalf("upload %d ended before %d bytes of it were sent: %v", i+1, filledBytes, err)
+		}
+	}
+	s.began.Wait()
+	s.began.Add(1)
+	start()
+	got, err := askBulk(client, to)
+	if diff := cmp.Diff("whole", got); diff != "" || err != nil {
+		t.Fatalf("bulk work without a body: %v (-want +got):\n%s", err, diff)
+	}
+	close(s.release)
+	var errs []error
+	for range maxOpenBodies + 1 {
+		errs = append(errs, <-results)
+	}
+	if err := errors.Join(errs...); err != nil {
+		t.Error(err)
+	}
+}
--- a/router/peer/client.go
+++ b/router/peer/client.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"expvar"
+	"fmt"
 	"io"
 	"sync"
 	"time"
 
 	"github.com/quic-go/quic-go"
+	"golang.org/x/sync/singleflight"
 
 	"bronzewind.example/core/code"
 	"bronzewind.example/core/config"
@@ -27,9 +29,14 @@
 	streamFailed      = quic.StreamErrorCode(1)
 
 	// The bytes of a body that wait at the dispatcher for a slow backend
-	// server, and those of all bodies of a connection.
-	streamWindowBytes = 1 << 20
+	// server, and those of all streams of a connection.
+	streamWindowBytes = 256 << 10
 	connWindowBytes   = 16 << 20
+
+	// maxOpenBodies is how many bodies a dispatcher receives at once on a
+	// connection. If none of them is read, they fill seven eighths of the
+	// connection's window; the rest is for heads and inline bodies.
+	maxOpenBodies = connWindowBytes / 8 * 7 / streamWindowBytes
 )
 
 type (
@@ -40,7 +47,10 @@
 		identity *Identity
 		traffic  *traffic
 
+		dials singleflight.Group // by endpoint
+
 		mu      sync.Mutex
+		closed  bool                    // guarded by mu
 		conns   map[endpoint]*quic.Conn // guarded by mu
 		members map[string]bool         // by fingerprint, whether it leaves; guarded by mu
 	}
@@ -52,6 +62,11 @@
 	bulk                 bool
 }
 
+// String returns a text that no other endpoint has.
+func (e endpoint) String() string { return fmt.Sprintf("%s %x %t", e.forward, e.fingerprint, e.bulk) }
+
+var errClientClosed = errors.New("the client of other instances is closed")
+
 // NewClient returns a client that shows identity to its peers.
 func NewClient(identity *Identity) *Client {
 	return &Client{identity: identity, traffic: newTraffic(), conns: map[endpoint]*quic.Conn{}}
@@ -67,8 +82,12 @@
 		KeepAlivePeriod:      keepAlive,
 		MaxIncomingStreams:   maxStreams,
 
-		MaxStreamReceiveWindow:     streamWindowBytes,
-		MaxConnectionReceiveWindow: connWindowBytes,
+		// QUIC would start with a connection window that two unread bodies fill, and
+		// enlarge it only while bodies are read.
+		InitialStreamReceiveWindow:     streamWindowBytes,
+		MaxStreamReceiveWindow:         streamWindowBytes,
+		InitialConnectionReceiveWindow: connWindowBytes,
+		MaxConnectionReceiveWindow:     connWindowBytes,
 	}
 }
 
@@ -96,6 +115,7 @@
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closed = true
 	for _, conn := range c.conns {
 		_ = conn.CloseWithError(0, "closing")
 	}
@@ -235,17 +255,44 @@
 	return stream, nil
 }
 
+// conn returns the connection to e. Requests that need it at the same time share one
+// dial: a dial for each would let a burst of requests time out in handshakes.
 func (c *Client) conn(ctx context.Context, e endpoint) (*quic.Conn, error) {
 	if e.forward == "" {
 		return nil, errors.New("the instance is not a member")
 	}
+	if conn := c.established(e); conn != nil {
+		return conn, nil
+	}
+	result := c.dials.DoChan(e.String(), func() (any, error) { return c.dial(e) })
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case r := <-result:
+		if r.Err != nil {
+			return nil, r.Err
+		}
+		return r.Val.(*quic.Conn), nil
+	}
+}
+
+// established returns the open connection to e; nil if there is none.
+func (c *Client) established(e endpoint) *quic.Conn {
 	c.mu.Lock()
-	conn, ok := c.conns[e]
-	c.mu.Unlock()
-	if ok && conn.Context().Err() == nil {
+	defer c.mu.Unlock()
+	if conn, ok := c.conns[e]; ok && conn.Context().Err() == nil {
+		return conn
+	}
+	return nil
+}
+
+// dial connects to e, unless a connection was established meanwhile. It does not end
+// with the request that began it, since others may wait for it.
+func (c *Client) dial(e endpoint) (*quic.Conn, error) {
+	if conn := c.established(e); conn != nil {
 		return conn, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	conn, err := quic.DialAddr(ctx, e.forward, c.identity.tlsConfig(only([]byte(e.fingerprint))), quicConfig())
 	if err != nil {
@@ -253,9 +300,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if other, ok := c.conns[e]; ok && other.Context().Err() == nil {
-		_ = conn.CloseWithError(0, "second connection")
-		return other, nil
+	if c.closed {
+		_ = conn.CloseWithError(0, "closing")
+		return nil, errClientClosed
 	}
 	c.conns[e] = conn
 	return conn, nil
--- a/router/peer/server.go
+++ b/router/peer/server.go
@@ -132,6 +132,7 @@
 		_ = conn.CloseWithError(0, "closing")
 		wg.Wait()
 	}()
+	bodies := make(bodySlots, maxOpenBodies)
 	for {
 		stream, err := conn.AcceptStream(ctx)
 		if err != nil {
@@ -145,12 +146,12 @@
 				s.serveSnapshot(conn.Context(), stream)
 				return
 			}
-			s.serveStream(conn.Context(), stream)
+			s.serveStream(conn.Context(), stream, bodies)
 		})
 	}
 }
 
-func (s *Server) serveStream(ctx context.Context, stream *quic.Stream) {
+func (s *Server) serveStream(ctx context.Context, stream *quic.Stream, bodies bodySlots) {
 	var first [1]byte
 	if _, err := io.ReadFull(stream, first[:]); err != nil {
 		abort(stream)
@@ -159,7 +160,7 @@
 	marks, keepsMarks := s.doer.(CallHandler)
 	switch kind := streamKind(first[0]); {
 	case kind == requestStream:
-		s.serveRequest(ctx, stream)
+		s.serveRequest(ctx, stream, bodies)
 	case kind == markStream && keepsMarks:
 		serveMark(marks, stream, s.log)
 	default:
@@ -167,13 +168,15 @@
 	}
 }
 
-func (s *Server) serveRequest(ctx context.Context, stream *quic.Stream) {
+func (s *Server) serveRequest(ctx context.Context, stream *quic.Stream, bodies bodySlots) {
 	ctx, cancel := context.WithCancel(ctx)
+	body := &askedBody{ctx: ctx, stream: stream, slots: bodies}
+	defer body.release() // after cancel, which ends a wait for a slot
 	defer cancel()
 	defer stream.CancelRead(streamFailed)
 	stopped := context.AfterFunc(stream.Context(), cancel)
 	defer stopped()
-	answer, err := s.handle(ctx, stream)
+	answer, err := s.handle(ctx, stream, body)
 	if err != nil {
 		s.refuse(stream, err)
 		return
@@ -203,7 +206,7 @@
 	stream.Close()
 }
 
-func (s *Server) handle(ctx context.Context, stream *quic.Stream) (*dispatch.Response, error) {
+func (s *Server) handle(ctx context.Context, stream *quic.Stream, body *askedBody) (*dispatch.Response, error) {
 	var head requestHead
 	if err := readFrame(stream, &head); err != nil {
 		return nil, err
@@ -220,7 +223,7 @@
 	}
 	switch {
 	case head.Streams:
-		r.Body = &askedBody{stream: stream}
+		r.Body = body
 	case len(head.Inline) > 0:
 		r.Body, r.Length = bytes.NewReader(head.Inline), int64(len(head.Inline))
 	}
@@ -229,23 +232,56 @@
 }
 
 // askedBody asks the entry for the body at the first read, so that a queued
-// upload crosses no link before it can start.
+// upload crosses no link before it can start. If too many bodies of the connection
+// are open, it waits until one ends.
 type askedBody struct {
+	ctx    context.Context // of the request
 	stream *quic.Stream
-	asked  bool
+	slots  bodySlots
+
+	mu    sync.Mutex
+	asked bool // holds one of slots; guarded by mu
 }
 
+// bodySlots limits the bodies that a connection receives at once, so that bodies
+// which are not read leave room in its window for other streams.
+type bodySlots chan struct{}
+
 // Read implements io.Reader.
 func (b *askedBody) Read(p []byte) (int, error) {
-	if !b.asked {
-		b.asked = true
-		if err := writeFrame(b.stream, answerHead{WantsBody: true}); err != nil {
-			return 0, err
-		}
+	if err := b.ask(); err != nil {
+		return 0, err
 	}
 	return b.stream.Read(p)
 }
 
+func (b *askedBody) ask() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.asked {
+		return nil
+	}
+	if err := b.ctx.Err(); err != nil {
+		return err // release may have run already
+	}
+	select {
+	case b.slots <- struct{}{}:
+		b.asked = true
+	case <-b.ctx.Done():
+		return b.ctx.Err()
+	}
+	return writeFrame(b.stream, answerHead{WantsBody: true})
+}
+
+// release lets another body be asked for, once the request has ended.
+func (b *askedBody) release() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.asked {
+		<-b.slots
+	}
+}
+
 func (c *streamCount) begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
