ownership: grants name their server and stay with one incarnation

Ruled out: waiting out (each lost connection would cost 3 s of its keys); asking the health path before each grant (a probe each, and it shows no restart under the same ID).

Change: grants and releases carry the ID of the server that is meant. Without one left the partition gets a new fence and keeps its owner. A release counts only if the holder has accepted that fence.

The history check is stricter than before: its servers are reached by address.

--- a/core/ownership/events.go
+++ b/core/ownership/events.go
@@ -84,7 +84,10 @@
 	GrantCompleted struct {
 		Grant  SendGrant
 		SentAt time.Time // time just before the attempt to send; set also if Result is Unsent
-		Result Result
+		// ConnectedAt is when the connection that carried the grant was opened; zero if none
+		// did.
+		ConnectedAt time.Time
+		Result      Result
 	}
 
 	// ReleaseCompleted reports the outcome of a SendRelease. Handover is the opaque
@@ -112,6 +115,9 @@
 		TTL      time.Duration // time to live of the grant, from its arrival
 		Handover string        // handover text of the earlier holder whose release was confirmed last; "" if there is none
 		Deadline time.Time     // the grant must arrive by then or never
+		// ConnectedBy, unless zero, restricts the grant to connections that were opened by
+		// then (see fenceUse.connectedBy).
+		ConnectedBy time.Time
 	}
 
 	// SendRelease asks Server to release a range.
@@ -158,6 +164,12 @@
 	Unsent
 	// Unanswered means that the server may have received the call.
 	Unanswered
+	// Misdirected means that the call was not carried out because another server is at
+	// the address.
+	Misdirected
+	// NoConnection means that nothing was sent because no connection was left that the
+	// grant may use (see SendGrant.ConnectedBy).
+	NoConnection
 )
 
 func (PartitionMapRead) event()    {}
@@ -187,6 +199,10 @@
 		return "refused"
 	case Unsent:
 		return "unsent"
+	case Misdirected:
+		return "misdirected"
+	case NoConnection:
+		return "no-connection"
 	default:
 		return "unanswered"
 	}
--- a/core/ownership/granter.go
+++ b/core/ownership/granter.go
@@ -54,13 +54,16 @@
 	}
 
 	service struct {
-		name          string
-		partitionMap  PartitionMap // last one written or read; raiseFence may have raised its Fence since
-		writeInFlight bool
-		pendingMap    PartitionMap // the map being written, while writeInFlight
-		serversListed bool         // a server list with at least one server has arrived
-		firstListedAt time.Time
-		servers       map[Incarnation]*server
+		name         string
+		partitionMap PartitionMap // last one written or read; raiseFence may have raised its Fence since
+		// Fences up to inheritedFence may have been granted by prior granters; this granter
+		// grants none of them.
+		inheritedFence uint64
+		writeInFlight  bool
+		pendingMap     PartitionMap // the map being written, while writeInFlight
+		serversListed  bool         // a server list with at least one server has arrived
+		firstListedAt  time.Time
+		servers        map[Incarnation]*server
 		// Start of the latest incarnation under each ID and at each address, in Unix
 		// milliseconds.
 		latestStartByID      map[string]int64
@@ -84,6 +87,7 @@
 		newestAcceptedSentAt time.Time // when the newest of the accepted grants was sent
 		failingSince         time.Time // when the first grant after the last accepted one failed; zero if none did
 		firstRetry           time.Time // when the first grant after failingSince was decided on; zero if there was none
+		fences               map[uint64]*fenceUse
 	}
 
 	// move is the progress of a partition from its earlier holders to its owner.
@@ -94,6 +98,7 @@
 		granted          bool
 		grantedAt        time.Time // when the owner accepted the grant
 		lastGrantAttempt time.Time // when a grant to the owner was last decided on; zero if never
+		mayBeGranted     bool      // the owner may have accepted a grant under an earlier fence
 	}
 
 	// MoveKey identifies a move; no two moves have the same fence and range.
@@ -111,6 +116,7 @@
 		lastRequest        time.Time // when a release was last requested
 		releaseInFlight    bool
 		released           bool
+		accepted           bool // the holder has accepted holder.Fence from this granter
 	}
 )
 
@@ -249,7 +255,7 @@
 func (s *service) server(inc Incarnation) *server {
 	srv, ok := s.servers[inc]
 	if !ok {
-		srv = &server{Server: Server{Incarnation: inc}, unlisted: true}
+		srv = &server{Server: Server{Incarnation: inc}, unlisted: true, fences: map[uint64]*fenceUse{}}
 		s.servers[inc] = srv
 		s.latestStartByID[inc.ID] = max(s.latestStartByID[inc.ID], inc.StartedMillis)
 	}
@@ -269,6 +275,9 @@
 	newer := m.Epoch > s.partitionMap.Epoch || m.Epoch == s.partitionMap.Epoch && m.Version > s.partitionMap.Version
 	if newer {
 		s.partitionMap = m
+		if m.Epoch != g.epoch {
+			s.inheritedFence = m.Fence
+		}
 	}
 }
 
@@ -314,6 +323,28 @@
 	return s.latestStartByID[inc.ID] > inc.StartedMillis || known && old.Address != "" && s.latestStartByAddress[old.Address] > inc.StartedMillis
 }
 
+// holdsNothing reports whether no server holds anything that was granted to incarnation
+// inc: it has ended, and no later incarnation of the same server can have accepted a
+// grant that was meant for it.
+func (s *service) holdsNothing(inc Incarnation) bool {
+	return s.ended(inc) && s.successorInPlace(inc) == nil
+}
+
+// successorInPlace returns a later incarnation with the ID of inc at its address; nil if
+// none is known. If the address of inc is not known, any later incarnation counts.
+func (s *service) successorInPlace(inc Incarnation) *server {
+	if s.latestStartByID[inc.ID] <= inc.StartedMillis {
+		return nil
+	}
+	address := s.server(inc).Address
+	for _, srv := range s.servers {
+		if srv.ID == inc.ID && srv.StartedMillis > inc.StartedMillis && srv.Address != "" && (address == "" || srv.Address == address) {
+			return srv
+		}
+	}
+	return nil
+}
+
 func (g *Granter) recordWriteResult(e PartitionMapWritten, now time.Time) {
 	s := g.service(e.Service)
 	if !s.writeInFlight || s.pendingMap.Version != e.Version {
@@ -325,6 +356,7 @@
 	} else {
 		s.partitionMap = s.pendingMap
 		s.dropCompletedMoves()
+		s.forgetUnusedFences()
 	}
 }
 
@@ -346,11 +378,12 @@
 	s := g.service(e.Grant.Service)
 	srv := s.server(e.Grant.Server.Incarnation)
 	srv.removeInFlight(e.Grant.Range)
+	srv.use(e.Grant.Fence).observeGrant(e)
 	switch e.Result {
 	case Done:
 		srv.failingSince, srv.firstRetry = time.Time{}, time.Time{}
 		srv.newestAcceptedSentAt = later(srv.newestAcceptedSentAt, e.SentAt)
-	case Unsent, Unanswered:
+	case Unsent, Unanswered, Misdirected:
 		// A failed grant doesn't count if the server has accepted one that was sent later.
 		if srv.failingSince.IsZero() && e.SentAt.After(srv.newestAcceptedSentAt) {
 			srv.failingSince = now
@@ -360,6 +393,7 @@
 		}
 	case Refused:
 		s.raiseFence(e.Grant.Fence)
+	case NoConnection: // see replaceLostFences
 	}
 	if m, ok := s.moves[MoveKey{e.Grant.Fence, e.Grant.Range}]; ok && m.grantInFlight {
 		m.grantInFlight = false
--- a/core/ownership/grants.go
+++ b/core/ownership/grants.go
@@ -40,7 +40,8 @@
 			out = append(out, g.requestRelease(s, p, rev, now)...)
 			allRevoked = allRevoked && g.revoked(s, rev, now)
 		}
-		if owner := s.server(p.Owner); allRevoked && s.eligible(owner) && now.Sub(m.lastGrantAttempt) >= grantRetryInterval {
+		owner := s.server(p.Owner)
+		if allRevoked && s.eligible(owner) && now.Sub(m.lastGrantAttempt) >= grantRetryInterval && s.mayGrant(owner, p.Fence) {
 			m.grantInFlight, m.lastGrantAttempt = true, now
 			out = append(out, g.newGrant(s, owner, p, m.handover, now))
 		}
@@ -74,7 +75,7 @@
 
 func (g *Granter) newRevocation(s *service, h Holder) *revocation {
 	srv := s.server(h.Incarnation)
-	return &revocation{holder: h, lastGrantDecidedAt: srv.lastGrantDecidedAt, lastUnanswered: srv.lastUnanswered}
+	return &revocation{holder: h, accepted: srv.use(h.Fence).accepted, lastGrantDecidedAt: srv.lastGrantDecidedAt, lastUnanswered: srv.lastUnanswered}
 }
 
 // expiresAt returns when all grants that the holder may have received from this or a
@@ -85,12 +86,13 @@
 }
 
 // revoked reports whether the holder can no longer hold the range. A confirmed
-// release is enough unless an unanswered grant may still be carried out.
+// release is enough unless an unanswered grant may still be carried out, or the holder
+// may hold the range under another fence than the one released.
 func (g *Granter) revoked(s *service, rev *revocation, now time.Time) bool {
-	if !now.Before(g.expiresAt(rev)) || s.ended(rev.holder.Incarnation) {
+	if !now.Before(g.expiresAt(rev)) || s.holdsNothing(rev.holder.Incarnation) {
 		return true
 	}
-	return rev.released && !now.Before(g.unansweredUntil(rev))
+	return rev.released && rev.accepted && !now.Before(g.unansweredUntil(rev))
 }
 
 // unansweredUntil returns an upper bound on how long an unanswered grant to the holder,
@@ -109,14 +111,19 @@
 // is still in flight to that holder.
 func (g *Granter) requestRelease(s *service, p Partition, rev *revocation, now time.Time) []Effect {
 	from := s.server(rev.holder.Incarnation)
+	to := from.Server
+	if successor := s.successorInPlace(from.Incarnation); successor != nil {
+		to.Address = successor.Address // a later incarnation may hold what was granted to this one
+	}
 	done := rev.released || rev.releaseInFlight || g.revoked(s, rev, now)
-	if done || from.Address == "" || from.hasInFlight(p.Range) || now.Sub(rev.lastRequest) < releaseRetryInterval {
+	if done || to.Address == "" || from.hasInFlight(p.Range) || now.Sub(rev.lastRequest) < releaseRetryInterval {
 		return nil
 	}
 	rev.releaseInFlight, rev.lastRequest = true, now
 	// A grant that was in flight when the move started may have failed unanswered since.
 	rev.lastUnanswered = from.lastUnanswered
-	return []Effect{SendRelease{Service: s.name, Server: from.Server, Range: p.Range, Fence: rev.holder.Fence, Move: p.MoveKey()}}
+	rev.accepted = rev.accepted || from.use(rev.holder.Fence).accepted
+	return []Effect{SendRelease{Service: s.name, Server: to, Range: p.Range, Fence: rev.holder.Fence, Move: p.MoveKey()}}
 }
 
 // newGrant returns a grant of p to the server and records it as in flight.
@@ -126,8 +133,10 @@
 		to.firstRetry = now
 	}
 	to.inFlight = append(to.inFlight, p.Range)
+	use := to.use(p.Fence)
+	use.firstInFlight = use.connectedBy.IsZero()
 	return SendGrant{
-		Service: s.name, Server: to.Server, Range: p.Range, Fence: p.Fence,
+		Service: s.name, Server: to.Server, Range: p.Range, Fence: p.Fence, ConnectedBy: use.connectedBy,
 		TTL: g.timing.GrantTTL, Handover: handover, Deadline: now.Add(g.timing.SendTimeout),
 	}
 }
@@ -158,7 +167,7 @@
 		if !isDue {
 			continue
 		}
-		if s.writeInFlight && !s.pendingMapKeeps(p) {
+		if s.writeInFlight && !s.pendingMapKeeps(p) || !s.mayGrant(srv, p.Fence) {
 			continue
 		}
 		out = append(out, g.newGrant(s, srv, p, "", now))
--- a/core/ownership/history_test.go
+++ b/core/ownership/history_test.go
@@ -41,6 +41,7 @@
 		store           historyStore
 		granters        []*historyGranter
 		servers         map[Incarnation]*historyServer
+		byAddress       map[string]*historyServer               // the incarnation that was started last at each address
 		lastHeld        [sampledKeyCount]time.Time              // when each sampled key was last seen held by a running server
 		highestFences   [sampledKeyCount]map[Incarnation]uint64 // per sampled key: highest fence under which each incarnation held it
 		mutant          mutant
@@ -79,13 +80,21 @@
 		deferred        []func()
 		nextClaimSecond uint64    // the next claim is sent later than this number of seconds after the start
 		claimSentAt     time.Time // when the last claim was sent
+		connections     map[string]historyConnection
+	}
+
+	// historyConnection is a granter's connection to one incarnation at an address.
+	historyConnection struct {
+		server   *historyServer
+		openedAt time.Time
 	}
 
 	historyServer struct {
 		Server
 		up            bool
-		unlisted      bool // missing from server lists
-		unresponsive  bool // responds to no calls
+		unlisted      bool      // missing from server lists
+		listedUntil   time.Time // how long server lists still name it after its crash
+		unresponsive  bool      // responds to no calls
 		grants        [sampledKeyCount]heldGrant
 		highestFences [sampledKeyCount]uint64
 	}
@@ -103,6 +112,8 @@
 	reportsUnsentRelease
 	neverExpiresEpoch
 	sendsLate
+	namesNoServer
+	ignoresConnection
 )
 
 func (e events) Len() int { return len(e) }
@@ -122,7 +133,7 @@
 	h := &history{
 		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), mutant: m,
 		timing:  Timing{GrantTTL: 3 * time.Second, RenewalInterval: 800 * time.Millisecond, SendTimeout: 800 * time.Millisecond, MaxClockDrift: 0.02, EpochTTL: 6 * time.Second},
-		servers: map[Incarnation]*historyServer{},
+		servers: map[Incarnation]*historyServer{}, byAddress: map[string]*historyServer{},
 	}
 	for i := range h.highestFences {
 		h.highestFences[i] = map[Incarnation]uint64{}
@@ -132,10 +143,10 @@
 		granterTiming.GrantTTL = time.Second
 	}
 	for i := range 3 {
-		h.granters = append(h.granters, &historyGranter{Granter: NewGranter(granterTiming), history: h, index: i})
+		h.granters = append(h.granters, &historyGranter{Granter: NewGranter(granterTiming), history: h, index: i, connections: map[string]historyConnection{}})
 	}
 	for i := range 5 {
-		h.startServer(Incarnation{ID: fmt.Sprintf("s%d", i), StartedMillis: int64(i + 1)})
+		h.startServer(Incarnation{ID: fmt.Sprintf("s%d", i), StartedMillis: int64(i + 1)}, fmt.Sprintf("a%d", i))
 	}
 	return h
 }
@@ -155,8 +166,9 @@
 	h.trace = append(h.trace, fmt.Sprintf("%8.3f ", h.now.Sub(time.Unix(1000, 0)).Seconds())+fmt.Sprintf(format, values...))
 }
 
-func (h *history) startServer(inc Incarnation) {
-	h.servers[inc] = &historyServer{Server: Server{Incarnation: inc, Address: inc.ID, Slots: 6}, up: true}
+func (h *history) startServer(inc Incarnation, address string) {
+	s := &historyServer{Server: Server{Incarnation: inc, Address: address, Slots: 6}, up: true}
+	h.servers[inc], h.byAddress[address] = s, s
 }
 
 // run simulates the history and returns the first violation found, or "".
@@ -271,16 +283,31 @@
 	return up[h.random.IntN(len(up))]
 }
 
-// crashServer ends an incarnation. A new one starts after downtime, under the same ID
-// or another.
+// listed reports whether server lists name the incarnation.
+func (s *historyServer) listed(now time.Time) bool {
+	return !s.unlisted && (s.up || now.Before(s.listedUntil))
+}
+
+// crashServer ends an incarnation, which server lists may still name for some time. A
+// new one starts at its address after downtime, under the same ID or another. It may be
+// missing from server lists at first, as behind a partition from the store.
 func (h *history) crashServer(s *historyServer, downtime time.Duration) {
 	h.tracef("%s/%d crashes", s.ID, s.StartedMillis)
-	s.up = false
+	s.up, s.listedUntil = false, h.now.Add(h.randomDuration(0, 4*time.Second))
 	next := Incarnation{ID: s.ID, StartedMillis: h.now.UnixMilli()}
 	if h.chance(0.5) {
 		next.ID = fmt.Sprintf("n%d", next.StartedMillis)
 	}
-	h.schedule(downtime, func() { h.startServer(next) })
+	if h.chance(0.3) {
+		downtime = h.randomDuration(10*time.Millisecond, time.Second)
+	}
+	unlisted := h.chance(0.5)
+	h.schedule(downtime, func() {
+		h.startServer(next, s.Address)
+		started := h.servers[next]
+		started.unlisted = unlisted
+		h.schedule(h.randomDuration(100*time.Millisecond, 6*time.Second), func() { started.unlisted = false })
+	})
 }
 
 // callStore runs do at the store after a network delay, unless the store is down or
@@ -353,7 +380,7 @@
 	g.assigned = g.index == h.assignedGranter
 	var servers []Server
 	for _, s := range h.servers {
-		if s.up && !s.unlisted {
+		if s.listed(h.now) {
 			servers = append(servers, s.Server)
 		}
 	}
@@ -486,17 +513,28 @@
 func (g *historyGranter) sendGrant(e SendGrant) {
 	h := g.history
 	sent := h.now
+	c, connected := g.connect(e.Server.Address)
 	complete := func(r Result, d time.Duration) {
-		h.schedule(d, func() { g.runProcess(func() { g.step(GrantCompleted{Grant: e, SentAt: sent, Result: r}) }) })
+		h.schedule(d, func() {
+			g.runProcess(func() { g.step(GrantCompleted{Grant: e, SentAt: sent, ConnectedAt: c.openedAt, Result: r}) })
+		})
 	}
-	s := h.servers[e.Server.Incarnation]
-	switch {
-	case !s.up:
+	if !connected {
 		complete(Unsent, 10*time.Millisecond)
 		return
+	}
+	if !e.ConnectedBy.IsZero() && c.openedAt.After(e.ConnectedBy) && h.mutant != ignoresConnection {
+		complete(NoConnection, 10*time.Millisecond)
+		return
+	}
+	s := c.server
+	switch {
 	case s.unresponsive, h.chance(0.03):
 		complete(Unanswered, h.timing.SendTimeout)
 		return
+	case s.ID != e.Server.ID && h.mutant != namesNoServer:
+		complete(Misdirected, h.randomDuration(time.Millisecond, 300*time.Millisecond))
+		return
 	}
 	h.schedule(h.randomDuration(time.Millisecond, 300*time.Millisecond), func() {
 		arrived := h.now
@@ -514,6 +552,23 @@
 	})
 }
 
+// connect returns the granter's connection to the incarnation that runs at address. It
+// opens a new one if that incarnation is another by now, and sometimes because the
+// server has closed the connection.
+func (g *historyGranter) connect(address string) (historyConnection, bool) {
+	h := g.history
+	s := h.byAddress[address]
+	if !s.up {
+		return historyConnection{}, false
+	}
+	c, ok := g.connections[address]
+	if !ok || c.server != s || h.chance(0.01) {
+		c = historyConnection{server: s, openedAt: h.now}
+		g.connections[address] = c
+	}
+	return c, true
+}
+
 // applyGrant applies a grant to a server and checks that no other server holds its keys.
 func (h *history) applyGrant(s *historyServer, e SendGrant, arrived time.Time) Result {
 	if !s.up {
@@ -558,7 +613,7 @@
 
 func (g *historyGranter) sendRelease(e SendRelease) {
 	h := g.history
-	s := h.servers[e.Server.Incarnation]
+	s := h.byAddress[e.Server.Address]
 	complete := func(r Result, d time.Duration) {
 		h.schedule(d, func() { g.runProcess(func() { g.step(ReleaseCompleted{Release: e, Result: r, Handover: "handover"}) }) })
 	}
@@ -570,6 +625,10 @@
 		complete(Unanswered, h.timing.SendTimeout)
 		return
 	}
+	if s.ID != e.Server.ID {
+		complete(Misdirected, h.randomDuration(time.Millisecond, 300*time.Millisecond))
+		return
+	}
 	h.schedule(h.randomDuration(time.Millisecond, 300*time.Millisecond), func() {
 		first, last := sampleIndexes(e.Range)
 		for k := first; k <= last; k++ {
@@ -614,6 +673,8 @@
 		{"releases assumed done that were not carried out", reportsUnsentRelease, 1},
 		{"confirmation of the epoch assumed newer than it is", neverExpiresEpoch, 75}, // found at seed 124
 		{"grants sent after their deadline", sendsLate, 1},
+		{"grants carried out by another server at the address", namesNoServer, 1},
+		{"renewals carried out by a later incarnation with the same ID", ignoresConnection, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			for seed := c.firstSeed; seed < c.firstSeed+100; seed++ {
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -71,6 +71,7 @@
 	pl.recordAcceptedMoves()
 	if len(pl.targets) > 0 {
 		pl.reassignUnavailable()
+		pl.replaceLostFences()
 		pl.assignGaps()
 		pl.balance()
 	}
@@ -225,15 +226,15 @@
 	if p.Moving {
 		old := pl.granter.moveOf(pl.service, p)
 		for _, rev := range old.revocations {
-			m.revocations = append(m.revocations, &revocation{holder: rev.holder, lastGrantDecidedAt: rev.lastGrantDecidedAt, lastUnanswered: rev.lastUnanswered})
+			m.revocations = append(m.revocations, &revocation{holder: rev.holder, accepted: rev.accepted, lastGrantDecidedAt: rev.lastGrantDecidedAt, lastUnanswered: rev.lastUnanswered})
 		}
-		if !old.lastGrantAttempt.IsZero() || pl.mayBeGrantedByPrior(p) {
+		if pl.mayBeGranted(p, old) {
 			m.revocations = append(m.revocations, pl.granter.newRevocation(pl.service, Holder{p.Owner, p.Fence}))
 		}
 	} else {
 		m.revocations = append(m.revocations, pl.granter.newRevocation(pl.service, Holder{p.Owner, p.Fence}))
 	}
-	m.revocations = slices.DeleteFunc(m.revocations, func(rev *revocation) bool { return pl.service.ended(rev.holder.Incarnation) })
+	m.revocations = slices.DeleteFunc(m.revocations, func(rev *revocation) bool { return pl.service.holdsNothing(rev.holder.Incarnation) })
 	for _, rev := range m.revocations {
 		next.EarlierHolders = append(next.EarlierHolders, rev.holder)
 		next.WaitMillis = max(next.WaitMillis, pl.waitMillis(rev))
@@ -248,11 +249,10 @@
 	return next
 }
 
-// mayBeGrantedByPrior reports whether a prior granter wrote the present map, and so may
-// have granted the moving partition p to its owner. Once this granter has written a map
-// of its own, the result is false, also for a p carried over from a prior granter's map.
-func (pl *planner) mayBeGrantedByPrior(p Partition) bool {
-	return pl.service.partitionMap.Epoch != pl.granter.epoch
+// mayBeGranted reports whether the owner of the moving partition p may have been granted
+// it, by this granter in the move m or by a prior one.
+func (pl *planner) mayBeGranted(p Partition, m *move) bool {
+	return m.mayBeGranted || !m.lastGrantAttempt.IsZero() || pl.service.inherited(p.Fence)
 }
 
 // waitMillis returns the milliseconds until all grants of the holder have expired. It
--- a/core/ownership/prior_granters.go
+++ b/core/ownership/prior_granters.go
@@ -57,8 +57,10 @@
 	g.epoch, g.confirmedAt = epoch, claimSentAt
 	for _, s := range g.services {
 		s.writeInFlight = false
+		s.inheritedFence = s.partitionMap.Fence
 		s.moves = map[MoveKey]*move{}
 		for _, srv := range s.servers {
+			srv.fences = map[uint64]*fenceUse{}
 			srv.inFlight, srv.lastRenewal, srv.failingSince, srv.firstRetry = nil, time.Time{}, time.Time{}, time.Time{}
 		}
 	}
--- a/core/tcp/tcp.go
+++ b/core/tcp/tcp.go
@@ -1,9 +1,10 @@
-// Package tcp sets options of TCP connections that the standard library leaves
-// as they are.
+// Package tcp has what the standard library lacks for TCP connections: options, and
+// whether an idle connection can be used again.
 package tcp
 
 import (
 	"errors"
+	"net"
 	"syscall"
 	"time"
 
@@ -22,3 +23,25 @@
 		return errors.Join(err, inner)
 	}
 }
+
+// OpenAndEmpty reports whether the peer has not closed c and there are no bytes to read
+// on it. Bytes that arrive on an idle connection belong to no request. It returns true
+// for a connection without a file descriptor.
+func OpenAndEmpty(c net.Conn) bool {
+	raw, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	openAndEmpty := false
+	err = rc.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		openAndEmpty = errors.Is(err, unix.EAGAIN)
+		return true
+	})
+	return err == nil && openAndEmpty
+}
--- a/router/direct/conn.go
+++ b/router/direct/conn.go
@@ -13,8 +13,6 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"bronzewind.example/core/tcp"
 )
 
@@ -266,22 +264,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	rc, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	openAndEmpty := false
-	err = rc.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		openAndEmpty = errors.Is(err, unix.EAGAIN)
-		return true
-	})
-	return err == nil && openAndEmpty
+	return tcp.OpenAndEmpty(c.Conn)
 }
 
 // setIdleTimeout sets the idle timeout from the server's Keep-Alive header, less
--- a/router/granting/loop.go
+++ b/router/granting/loop.go
@@ -55,8 +55,10 @@
 
 	// GrantClient sends grants and releases to backend servers.
 	GrantClient interface {
-		// Grant sends a grant that arrives before ctx ends or never.
-		Grant(ctx context.Context, g ownership.SendGrant) ownership.Result
+		// Grant sends a grant that arrives before ctx ends or never. It also returns when
+		// the connection that carried the grant was opened, by the clock of the Loop; zero
+		// if none did.
+		Grant(ctx context.Context, g ownership.SendGrant) (ownership.Result, time.Time)
 		// Release asks for a range back. It returns the handover text for the next
 		// owner, if the server sent one.
 		Release(ctx context.Context, r ownership.SendRelease) (ownership.Result, string)
@@ -294,18 +296,18 @@
 func (l *Loop) maySend() bool { return l.clock.Now().UnixNano() < l.epochValidUntil.Load() }
 
 func (l *Loop) sendGrant(ctx context.Context, g ownership.SendGrant) {
-	result := ownership.Unsent
+	result, connectedAt := ownership.Unsent, time.Time{}
 	attemptedAt := l.clock.Now()
 	if left := g.Deadline.Sub(attemptedAt); left > 0 && l.maySend() {
 		sendCtx, cancel := context.WithTimeout(ctx, left)
-		result = l.client.Grant(sendCtx, g)
+		result, connectedAt = l.client.Grant(sendCtx, g)
 		cancel()
 	}
 	if result != ownership.Done {
 		l.log.Limited("grant-failed", "service", g.Service, "server", g.Server.ID, "from", g.Range.From, "to", g.Range.To,
 			"fence", g.Fence, "result", result.String())
 	}
-	l.Post(ctx, ownership.GrantCompleted{Grant: g, SentAt: attemptedAt, Result: result})
+	l.Post(ctx, ownership.GrantCompleted{Grant: g, SentAt: attemptedAt, ConnectedAt: connectedAt, Result: result})
 }
 
 func (l *Loop) sendRelease(ctx context.Context, r ownership.SendRelease) {
--- a/router/granting/loop_test.go
+++ b/router/granting/loop_test.go
@@ -61,9 +61,9 @@
 	return err
 }
 
-func (c *countingClient) Grant(context.Context, ownership.SendGrant) ownership.Result {
+func (c *countingClient) Grant(context.Context, ownership.SendGrant) (ownership.Result, time.Time) {
 	c.grants++
-	return ownership.Done
+	return ownership.Done, time.Time{}
 }
 
 func (c *countingClient) Release(context.Context, ownership.SendRelease) (ownership.Result, string) {
