lab/load: gaps in service are measured by follow-up requests

Cause: longestGap took two failures of one slot in a row for one gap, also if nobody asked for the slot in between. TestGapsOfTwoOutagesAreApart shows it: two outages of 200 ms, 1.5 s apart, came out as a gap of 1.50 s (at the demo's two kills, 4.4 s apart, as one of 4.45 s). The other way round an outage of 1.1 s on a slot that was asked once came out as 0.8 ms (TestGapOfSlotAskedOnce).

Change: a slot on which a request failed or stalled is asked every 50 ms until it is served. A gap lasts to the follow-up request that was served. The bound of 1 s stays; follow-ups are checked for invariants like all requests and do not count in the figures of the kinds.

--- a/lab/load/run.go
+++ b/lab/load/run.go
@@ -59,6 +59,7 @@
 		Outcome  string        `json:"outcome"`
 		Wrong    string        `json:"wrong,omitempty"` // what is wrong with the answer
 		Repeats  int           `json:"repeats"`
+		FollowUp bool          `json:"follow-up,omitempty"` // sent because a request of its slot failed; not in the profile
 	}
 )
 
@@ -80,12 +81,16 @@
 func Direct() Option { return func(r *Runner) { r.direct = true } }
 
 // Run sends the whole plan at its times and returns the outcomes in order of
-// the plan.
+// the plan, and after them those of follow-up requests.
 func (r *Runner) Run(ctx context.Context) []Outcome {
+	return r.run(ctx, plan(r.profile, r.config))
+}
+
+func (r *Runner) run(ctx context.Context, requests []planned) []Outcome {
 	ctx, cancel := context.WithTimeout(ctx, (r.profile.Duration + r.profile.Settle).Std())
 	defer cancel()
-	requests := plan(r.profile, r.config)
 	out := make([]Outcome, len(requests))
+	follow := newFollowUps(r)
 	r.started = time.Now()
 	stop := make(chan struct{})
 	reported := make(chan struct{})
@@ -105,9 +110,11 @@
 		wg.Go(func() {
 			defer r.inFlight.Add(-1)
 			out[i] = r.send(ctx, &requests[i])
+			follow.start(ctx, &requests[i], out[i])
 		})
 	}
 	wg.Wait()
+	out = append(out, follow.wait()...)
 	close(stop)
 	<-reported
 	return out
--- a/lab/load/summary.go
+++ b/lab/load/summary.go
@@ -13,7 +13,6 @@
 
 	"bronzewind.example/core/code"
 	"bronzewind.example/core/config"
-	"bronzewind.example/core/keyspace"
 )
 
 const (
@@ -58,8 +57,7 @@
 		Codes    map[string]int `json:"codes"` // answers without "done", by name of the result code
 	}
 
-	// Unavailable tells the gaps in service of slots: the time of requests that
-	// failed or were stalled, one after the other.
+	// Unavailable tells the gaps in service of slots, see longestGap.
 	Unavailable struct {
 		Slots     int     `json:"slots"` // that had a gap
 		LongestMs float64 `json:"longest-ms"`
@@ -98,7 +96,7 @@
 	k := KindSummary{Service: share.Service, Kind: share.Kind, Rank: kind.Rank, Codes: map[string]int{}}
 	h := hdrhistogram.New(1, longestLatency, significant)
 	for _, o := range outcomes {
-		if o.Service != share.Service || o.Kind != share.Kind {
+		if o.Service != share.Service || o.Kind != share.Kind || o.FollowUp {
 			continue
 		}
 		k.Asked++
@@ -137,19 +135,15 @@
 
 // unavailable finds the longest gap of each slot.
 func unavailable(c *config.Configuration, outcomes []Outcome) Unavailable {
-	type slotKey struct {
-		service string
-		slot    keyspace.Slot
-	}
 	bySlot := map[slotKey][]attempt{}
 	for _, o := range outcomes {
-		if v, kind, ok := findKind(c, o.Service, o.Kind); ok {
-			key := slotKey{service: o.Service, slot: keyspace.NewHash(o.Key).Slot(v.Slots)}
-			bySlot[key] = append(bySlot[key], attempt{Outcome: o, target: kind.Target.Std()})
+		if slot, kind, ok := slotOf(c, o.Service, o.Kind, o.Key); ok {
+			bySlot[slot] = append(bySlot[slot], attempt{Outcome: o, target: kind.Target.Std()})
 		}
 	}
 	var gaps []float64
 	for _, list := range bySlot {
+		sort.SliceStable(list, func(i, j int) bool { return list[i].Intended < list[j].Intended })
 		if g := longestGap(list); g > 0 {
 			gaps = append(gaps, float64(g.Microseconds())/1000)
 		}
@@ -162,13 +156,17 @@
 }
 
 // longestGap returns the longest time from the intended time of a failed or
-// stalled request to the end of the last one in a row; refusals by admission
-// are no gap. list is in order of intended time.
+// stalled request to the end of the last one in a row, or to the follow-up request
+// after it that was served. Refusals by admission are no gap. list is in order of
+// intended time.
 func longestGap(list []attempt) time.Duration {
 	var longest, began, ended time.Duration
 	inGap := false
 	for _, o := range list {
 		if !o.failed() {
+			if inGap && o.FollowUp && o.served() {
+				longest = max(longest, o.Intended-began)
+			}
 			inGap = false
 			continue
 		}
@@ -203,6 +201,9 @@
 	return a.Outcome.Outcome != code.Done.String() || a.Ended-a.Intended > max(a.target, stalledAfter)
 }
 
+// served reports whether the request was answered in time, or not long after.
+func (a attempt) served() bool { return a.Outcome.Outcome == code.Done.String() && !a.failed() }
+
 // Print writes the summary for a reader.
 func (s *Summary) Print(out io.Writer) error {
 	fmt.Fprintf(out, "\n%s, seed %d, %.0f s\n", s.Fleet, s.Seed, s.Seconds)
