ownership: another server at an address ends what was granted there

Cause: after a crash behind a partition, a server that started again at the same address answered 421 to grants for its predecessor, and its keys waited until all grants to the predecessor had expired. One address has one server, so that answer proves the end of the other one.

Change: a 421 to a grant or release marks the incarnation as ended.

--- a/core/ownership/events.go
+++ b/core/ownership/events.go
@@ -165,7 +165,7 @@
 	// Unanswered means that the server may have received the call.
 	Unanswered
 	// Misdirected means that the call was not carried out because another server is at
-	// the address.
+	// the address, so the incarnation that was meant has ended.
 	Misdirected
 	// NoConnection means that nothing was sent because no connection was left that the
 	// grant may use (see SendGrant.ConnectedBy).
--- a/core/ownership/granter.go
+++ b/core/ownership/granter.go
@@ -88,6 +88,7 @@
 		failingSince         time.Time // when the first grant after the last accepted one failed; zero if none did
 		firstRetry           time.Time // when the first grant after failingSince was decided on; zero if there was none
 		fences               map[uint64]*fenceUse
+		replaced             bool // another server has answered at its address since
 	}
 
 	// move is the progress of a partition from its earlier holders to its owner.
@@ -317,10 +318,10 @@
 }
 
 // ended reports whether incarnation inc is known to have ended: its server has
-// started again since, or a server that started later has its address.
+// started again since, or another server has its address.
 func (s *service) ended(inc Incarnation) bool {
 	old, known := s.servers[inc]
-	return s.latestStartByID[inc.ID] > inc.StartedMillis || known && old.Address != "" && s.latestStartByAddress[old.Address] > inc.StartedMillis
+	return known && old.replaced || s.latestStartByID[inc.ID] > inc.StartedMillis || known && old.Address != "" && s.latestStartByAddress[old.Address] > inc.StartedMillis
 }
 
 // holdsNothing reports whether no server holds anything that was granted to incarnation
@@ -383,7 +384,9 @@
 	case Done:
 		srv.failingSince, srv.firstRetry = time.Time{}, time.Time{}
 		srv.newestAcceptedSentAt = later(srv.newestAcceptedSentAt, e.SentAt)
-	case Unsent, Unanswered, Misdirected:
+	case Misdirected:
+		srv.replaced = true
+	case Unsent, Unanswered:
 		// A failed grant doesn't count if the server has accepted one that was sent later.
 		if srv.failingSince.IsZero() && e.SentAt.After(srv.newestAcceptedSentAt) {
 			srv.failingSince = now
@@ -434,6 +437,9 @@
 	if !ok {
 		return
 	}
+	if e.Result == Misdirected {
+		s.server(e.Release.Server.Incarnation).replaced = true
+	}
 	for _, rev := range m.revocations {
 		if rev.holder.Incarnation != e.Release.Server.Incarnation {
 			continue
