--- a/core/tcp/tcp.go
+++ b/core/tcp/tcp.go
@@ -28,20 +28,66 @@
 // on it. Bytes that arrive on an idle connection belong to no request. It returns true
 // for a connection without a file descriptor.
 func OpenAndEmpty(c net.Conn) bool {
-	raw, ok := c.(syscall.Conn)
+	_, err := peek(c)
+	return errors.Is(err, unix.EAGAIN) || errors.Is(err, errNoDescriptor)
+}
+
+// ClosedByPeer reports whether the peer has closed or reset c and sent nothing before
+// that is still to be read. It may be called while another goroutine reads from c. It
+// returns false for a connection without a file descriptor.
+func ClosedByPeer(c net.Conn) bool {
+	n, err := peek(c)
+	return n == 0 && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, errNoDescriptor)
+}
+
+// Readable reports whether there are bytes to read on c. It may be called while another
+// goroutine reads from c.
+func Readable(c net.Conn) bool {
+	n, _ := peek(c)
+	return n > 0
+}
+
+// Pending reports whether a connection waits to be accepted at l. It returns false for a
+// listener without a file descriptor.
+func Pending(l net.Listener) bool {
+	raw, ok := l.(syscall.Conn)
 	if !ok {
-		return true
+		return false
 	}
 	rc, err := raw.SyscallConn()
 	if err != nil {
 		return false
 	}
-	openAndEmpty := false
-	err = rc.Read(func(fd uintptr) bool {
+	pending := false
+	err = rc.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(fds, 0)
+		pending = n == 1 && err == nil && fds[0].Revents&unix.POLLIN != 0
+	})
+	return pending && err == nil
+}
+
+var errNoDescriptor = errors.New("the connection has no file descriptor")
+
+// peek looks for a byte to read on c without taking it or waiting for one. It does not
+// take the lock for reading, which a goroutine that waits for bytes holds.
+func peek(c net.Conn) (int, error) {
+	raw, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, errNoDescriptor
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var n int
+	var peekErr error
+	err = rc.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		openAndEmpty = errors.Is(err, unix.EAGAIN)
-		return true
+		n, _, peekErr = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return err == nil && openAndEmpty
+	if err != nil {
+		return 0, err
+	}
+	return max(n, 0), peekErr
 }
--- a/router/direct/conn.go
+++ b/router/direct/conn.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -23,6 +24,14 @@
 	maxIdleTimeout     = 60 * time.Second
 	readBufferSize     = 4 << 10
 
+	// maxHeadBytes limits the bytes that a server may send before the body of its
+	// response begins, informational responses included.
+	maxHeadBytes = 64 << 10
+
+	// rememberedRequests is the number of requests on a connection that are not sent on
+	// it again.
+	rememberedRequests = 8
+
 	// ackTimeout is the time after which the kernel closes a connection whose sent
 	// bytes are not acknowledged (TCP_USER_TIMEOUT).
 	ackTimeout = 900 * time.Millisecond
@@ -52,25 +61,31 @@
 		reader       *bufio.Reader
 		bytesWritten int64 // of the current request, as accepted by the kernel
 		bytesRead    int64 // of the current response
+		headLimit    int64 // value of bytesRead at which the head of the response is too long; 0 while a body is read
 		reused       bool
+		requests     uint64                     // sent on the connection
+		requestIDs   [rememberedRequests]string // of the last requests; that of request n, from 0, at n modulo the length
 		idleTimeout  time.Duration
 		idleSince    time.Time
 	}
 )
 
+var errHeadTooLong = fmt.Errorf("the head of the response exceeds %d bytes", maxHeadBytes)
+
 var errConnLimit = errors.New("no connection to the backend server became available at this instance's connection limit")
 
-// get returns an idle connection or opens a new one. If limit connections are
+// get returns an idle connection on which no request with requestID was sent before, or
+// opens a new one. If limit connections are
 // already open, it waits up to connWaitTimeout until one is available: idle, or
 // closed so that another may be opened. The second result is the time taken to
 // open the connection; 0 if it was reused.
-func (p *pool) get(ctx context.Context, address string, limit int, deadline time.Time) (*conn, time.Duration, error) {
+func (p *pool) get(ctx context.Context, address, requestID string, limit int, deadline time.Time) (*conn, time.Duration, error) {
 	waitUntil := time.Now().Add(connWaitTimeout)
 	if deadline.Before(waitUntil) {
 		waitUntil = deadline
 	}
 	for {
-		if c := p.takeIdle(time.Now()); c != nil {
+		if c := p.takeIdle(time.Now(), requestID); c != nil {
 			return c, 0, nil
 		}
 		available := p.reserve(limit)
@@ -149,9 +164,10 @@
 	return c, time.Since(start), nil
 }
 
-// takeIdle returns an idle connection that is still open and has no unexpected
-// bytes to read; nil if there is none.
-func (p *pool) takeIdle(now time.Time) *conn {
+// takeIdle returns an idle connection that is still open, has no unexpected bytes to
+// read and has not carried requestID; nil if there is none. The server may send a
+// second copy of an earlier response, which only its request ID tells from the next one.
+func (p *pool) takeIdle(now time.Time, requestID string) *conn {
 	for {
 		p.mu.Lock()
 		n := len(p.idle)
@@ -165,7 +181,7 @@
 			p.signalAvailable() // another waiting request can take the next one
 		}
 		p.mu.Unlock()
-		if now.Sub(c.idleSince) < c.idleTimeout && c.reusable() {
+		if now.Sub(c.idleSince) < c.idleTimeout && !c.carried(requestID) && c.reusable() {
 			c.reused, c.bytesWritten, c.bytesRead = true, 0, 0
 			return c
 		}
@@ -236,7 +252,7 @@
 func (p *pool) reachable(ctx context.Context, address string, limit int) bool {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	c, _, err := p.get(ctx, address, limit, time.Now().Add(dialTimeout))
+	c, _, err := p.get(ctx, address, "", limit, time.Now().Add(dialTimeout))
 	if err != nil {
 		return errors.Is(err, errConnLimit)
 	}
@@ -251,8 +267,23 @@
 	return n, err
 }
 
+// remember records the ID of the request that is about to be sent.
+func (c *conn) remember(requestID string) {
+	c.requestIDs[c.requests%rememberedRequests] = requestID
+	c.requests++
+}
+
+// carried reports whether a request with requestID is among the last ones that were sent
+// on the connection.
+func (c *conn) carried(requestID string) bool {
+	return requestID != "" && slices.Contains(c.requestIDs[:], requestID)
+}
+
 // Read implements net.Conn and counts the bytes read.
 func (c *conn) Read(b []byte) (int, error) {
+	if c.headLimit > 0 && c.bytesRead >= c.headLimit {
+		return 0, errHeadTooLong
+	}
 	n, err := c.Conn.Read(b)
 	c.bytesRead += int64(n)
 	return n, err
--- a/router/direct/exchange.go
+++ b/router/direct/exchange.go
@@ -25,6 +25,10 @@
 
 	maxResponseBytes = 64 << 20
 
+	// bodyStepBytes is how much of a response body is read before more memory is
+	// reserved for it. Shorter bodies reserve none.
+	bodyStepBytes = 64 << 10
+
 	// writeEndTimeout is how long to wait for the end of the request's writing
 	// after the response was read.
 	writeEndTimeout = 2 * time.Millisecond
@@ -73,13 +77,16 @@
 		body       []byte
 		idempotent bool
 		deadline   time.Time
+
+		reservedBytes int64 // of Server.responseMemory; released when the request ends
 	}
 
 	// response is a backend server's complete response.
 	response struct {
-		status int
-		header http.Header
-		body   []byte
+		status   int
+		header   http.Header
+		body     []byte
+		bodiless bool // has no body whatever its header announces, as the request was a HEAD
 	}
 
 	// requestWrite is the writing of one request, which may run concurrently with
@@ -111,6 +118,7 @@
 	errUnsigned         = errors.New("success response lacks the server's signature")
 	errEncoded          = errors.New("success response with a Content-Encoding is not accepted as the backend server's own")
 	errAmbiguousRefusal = errors.New("server refused the request without stating that it was not run")
+	errResponseMemory   = errors.New("the memory for response bodies is used up")
 	errResponseTooLarge = fmt.Errorf("response body exceeds %d bytes", maxResponseBytes)
 	expiredDeadline     = time.Unix(1, 0) // as a connection's deadline, it aborts reads and writes in progress
 )
@@ -120,11 +128,16 @@
 func (s *Server) exchange(ctx context.Context, b *backend, r *request) attemptResult {
 	info := b.info.Load()
 	start := time.Now()
-	c, dialTime, err := b.pool.get(ctx, info.Address, s.connectionLimit(info.Service), r.deadline)
+	c, dialTime, err := b.pool.get(ctx, info.Address, r.id, s.connectionLimit(info.Service), r.deadline)
 	if err != nil {
 		return attemptResult{outcome: unsentOrCancelled(ctx), code: code.BackendUnreachable, err: err, connLimited: errors.Is(err, errConnLimit)}
 	}
+	if callerGone(ctx) {
+		b.pool.put(c, time.Now())
+		return attemptResult{outcome: outcomeCancelled, code: code.CancelledInQueue, dialTime: dialTime}
+	}
 	a := attemptResult{dialTime: dialTime, reused: c.reused}
+	c.remember(r.id)
 	_ = c.SetDeadline(r.deadline) // if it fails, the write fails too
 	// From here on, a disconnect of the caller aborts the attempt only if r is
 	// idempotent.
@@ -183,16 +196,18 @@
 			p.closeConn(c)
 			return
 		}
-		resp, err := readFullResponse(head)
+		resp, err := s.readFullResponse(head, r)
 		if err != nil {
 			a.outcome, a.code, a.err = outcomeUnknown, code.AnswerCutOff, err
 			p.closeConn(c)
 			return
 		}
-		// A response which states that the request was not run may lack a request ID.
-		if id := resp.header.Get(s.protocol.RequestID); id != r.id && (id != "" || !s.statesNotRun(resp)) {
+		// A response which states that the request was not run may lack a request ID. On a
+		// reused connection it may then be a second copy of an earlier response.
+		id := resp.header.Get(s.protocol.RequestID)
+		if unnamed := id == "" && s.statesNotRun(resp); id != r.id && (!unnamed || c.reused) {
 			clean = false
-			if mismatched == maxMismatchedResponses {
+			if unnamed || mismatched == maxMismatchedResponses {
 				a.outcome, a.code, a.err = outcomeUnknown, code.AnswerCrossed, errWrongRequestID
 				p.closeConn(c)
 				return
@@ -202,8 +217,9 @@
 		s.classifyResponse(resp, a)
 		written := write.writtenSoon()
 		// A connection is reused only after a complete exchange without unexpected
-		// responses or bytes.
-		if clean && written && !head.Close && a.outcome != outcomeUnknown && c.reader.Buffered() == 0 {
+		// responses or bytes. A second copy of a response without a request ID could not
+		// be told from the next response.
+		if clean && r.id != "" && written && !head.Close && a.outcome != outcomeUnknown && c.reader.Buffered() == 0 {
 			c.setIdleTimeout(resp.header.Get("Keep-Alive"))
 			p.put(c, time.Now())
 		} else {
@@ -240,6 +256,8 @@
 // readResponseHead reads the head of the next response, skipping informational
 // (1xx) responses.
 func readResponseHead(c *conn, r *request) (*http.Response, error) {
+	c.headLimit = c.bytesRead + maxHeadBytes
+	defer func() { c.headLimit = 0 }()
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.method})
 		if err != nil || resp.StatusCode >= 200 {
@@ -249,19 +267,44 @@
 }
 
 // readFullResponse reads the body that follows head.
-func readFullResponse(head *http.Response) (*response, error) {
-	resp := &response{status: head.StatusCode, header: head.Header}
+func (s *Server) readFullResponse(head *http.Response, r *request) (*response, error) {
+	resp := &response{status: head.StatusCode, header: head.Header, bodiless: r.method == http.MethodHead}
+	if resp.bodiless {
+		return resp, nil
+	}
 	var err error
-	if n := head.ContentLength; n >= 0 && n <= maxResponseBytes {
-		resp.body = make([]byte, n)
-		_, err = io.ReadFull(head.Body, resp.body)
-		return resp, err
+	resp.body, err = s.readResponseBody(head.Body, head.ContentLength, r)
+	return resp, err
+}
+
+// readResponseBody reads a body of the announced length, or to its end if length is
+// negative. The memory for it grows with the bytes received, and that for all long
+// bodies together is limited.
+func (s *Server) readResponseBody(body io.Reader, length int64, r *request) ([]byte, error) {
+	if length >= 0 && length <= bodyStepBytes {
+		out := make([]byte, length)
+		_, err := io.ReadFull(body, out)
+		return out, err
 	}
-	resp.body, err = io.ReadAll(io.LimitReader(head.Body, maxResponseBytes+1))
-	if err == nil && len(resp.body) > maxResponseBytes {
-		err = errResponseTooLarge
+	var out bytes.Buffer
+	for {
+		if out.Len() >= maxResponseBytes {
+			return nil, errResponseTooLarge
+		}
+		if !s.responseMemory.reserve(bodyStepBytes) {
+			return nil, errResponseMemory
+		}
+		r.reservedBytes += bodyStepBytes
+		n, err := io.CopyN(&out, body, bodyStepBytes)
+		switch {
+		case errors.Is(err, io.EOF) && (length < 0 || int64(out.Len()) == length):
+			return out.Bytes(), nil
+		case err != nil:
+			return nil, err
+		case length >= 0 && int64(out.Len()) == length && n > 0:
+			return out.Bytes(), nil
+		}
 	}
-	return resp, err
 }
 
 // statesNotRun reports whether the response states that the server did not run
@@ -311,6 +354,8 @@
 		a.outcome, a.code = unsentOrCancelled(ctx), code.BackendUnreachable
 	case r.idempotent && ctx.Err() != nil:
 		a.outcome, a.code = outcomeCancelled, code.CancelledRunning
+	case errors.Is(err, errHeadTooLong):
+		a.outcome, a.code = outcomeUnknown, code.AnswerCutOff
 	case closedByPeer(err):
 		a.outcome, a.code, a.closedBeforeResponse = outcomeUnknown, code.BackendReset, true
 	case !time.Now().Before(r.deadline):
--- /dev/null
+++ b/router/direct/faulty_response_test.go
@@ -0,0 +1,157 @@
+package direct
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bronzewind.example/core/code"
+)
+
+// TestLateCopyOfRefusal guards against a refusal that is sent twice: the second copy
+// arrives when the same request is being sent to the server again, as to the owner of
+// its key, and would state that the second attempt was not run although it runs.
+func TestLateCopyOfRefusal(t *testing.T) {
+	const refusal = "T-Not-Run: 1"
+	for _, c := range []struct {
+		name string
+		id   string
+	}{
+		{"with the request's ID", "r1"},
+		{"without an ID, to an earlier request", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var first net.Conn
+			server := newScriptedServer(t, func(conn net.Conn, r *http.Request, sendNumber int64) {
+				if sendNumber == 1 {
+					first = conn
+					writeTestResponse(conn, 503, c.id, "", refusal)
+					return
+				}
+				if conn == first {
+					writeTestResponse(conn, 503, c.id, "", refusal) // the second copy of the first response
+				}
+				writeTestResponse(conn, 200, r.Header.Get("T-Id"), "good", "T-Signed: s")
+			})
+			s := newTestServer(t, Route{Attempts: 2}, false, server.listener.Addr().String())
+			_ = sendRequest(t, s, "POST", c.id, "x")
+			if w := sendRequest(t, s, "POST", "r1", "x"); w.Code != http.StatusOK {
+				t.Errorf("status %d (code %s) for a request that was run, want 200", w.Code, w.Header().Get(code.Header))
+			}
+		})
+	}
+}
+
+// TestRefusalWithoutIDOnReusedConnection checks that such a refusal counts as nothing
+// that is known of the request.
+func TestRefusalWithoutIDOnReusedConnection(t *testing.T) {
+	server := newScriptedServer(t, func(conn net.Conn, r *http.Request, sendNumber int64) {
+		if sendNumber == 1 {
+			writeTestResponse(conn, 200, r.Header.Get("T-Id"), "good", "T-Signed: s")
+			return
+		}
+		writeTestResponse(conn, 503, "", "", "T-Not-Run: 1")
+	})
+	s := newTestServer(t, Route{Attempts: 1}, false, server.listener.Addr().String())
+	var got []int
+	for _, id := range []string{"r1", "r2"} {
+		got = append(got, sendRequest(t, s, "POST", id, "x").Code)
+	}
+	if diff := cmp.Diff([]int{http.StatusOK, http.StatusBadGateway}, got); diff != "" {
+		t.Errorf("statuses (-want +got):\n%s", diff)
+	}
+}
+
+// TestHeadResponse checks that the response to a HEAD, which announces the length of a
+// body that it does not have, is complete.
+func TestHeadResponse(t *testing.T) {
+	server := newScriptedServer(t, func(conn net.Conn, r *http.Request, _ int64) {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nT-Signed: s\r\nContent-Length: 1234\r\n\r\n", r.Header.Get("T-Id"))
+	})
+	s := newTestServer(t, Route{Attempts: 1}, false, server.listener.Addr().String())
+	for i := range 2 { // the second one on the same connection
+		w := sendRequest(t, s, "HEAD", fmt.Sprint("r", i), "")
+		if w.Code != http.StatusOK || w.Header().Get("Content-Length") != "1234" {
+			t.Errorf("status %d and length %q, want 200 and 1234", w.Code, w.Header().Get("Content-Length"))
+		}
+	}
+}
+
+// endless gives bytes of a repeated text without end.
+type endless struct {
+	text string
+	at   int
+}
+
+// Read implements io.Reader.
+func (e *endless) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = e.text[e.at%len(e.text)]
+		e.at++
+	}
+	return len(p), nil
+}
+
+// TestEndlessResponses has a server send without end in each part of a response. The
+// instance must close the connection after a bounded number of bytes and take the
+// request for one that may have run: it is sent again only if it is idempotent.
+func TestEndlessResponses(t *testing.T) {
+	const (
+		mostBytes  = maxResponseBytes + 16<<20 // with what the kernel buffers
+		reserved   = 1 << 20
+		mostMemory = 16 * reserved // with what grows and is copied, and with the server's own
+	)
+	for _, c := range []struct{ name, begin, repeat string }{
+		{"no status line", "", "x"},
+		{"header name", "HTTP/1.1 200 OK\r\n", "x"},
+		{"header value", "HTTP/1.1 200 OK\r\nX: ", "x"},
+		{"header lines", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		{"informational responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		{"chunk header", "HTTP/1.1 200 OK\r\nT-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+		{"chunk size", "HTTP/1.1 200 OK\r\nT-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+		{"chunks", "HTTP/1.1 200 OK\r\nT-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nabcde\r\n"},
+		{"trailer", "HTTP/1.1 200 OK\r\nT-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+		{"body without a length", "HTTP/1.1 200 OK\r\nT-Id: r\r\n\r\n", "x"},
+		{"body with a length", "HTTP/1.1 200 OK\r\nT-Id: r\r\nContent-Length: 9000000000000\r\n\r\n", "x"},
+		{"responses to other requests", "", "HTTP/1.1 200 OK\r\nT-Id: other\r\nContent-Length: 1\r\n\r\nx"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			written := make(chan int64, 1)
+			bad := newScriptedServer(t, func(conn net.Conn, _ *http.Request, _ int64) {
+				n, _ := io.Copy(struct{ io.Writer }{conn}, io.MultiReader(strings.NewReader(c.begin), &endless{text: c.repeat}))
+				written <- n
+			})
+			s := newTestServer(t, Route{Attempts: 1}, false, bad.listener.Addr().String())
+			s.responseMemory.limit = reserved
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			w := sendRequest(t, s, "POST", "r", "x")
+			runtime.ReadMemStats(&after)
+			if w.Code != http.StatusBadGateway {
+				t.Errorf("status %d, want 502, since the request may have run", w.Code)
+			}
+			select {
+			case n := <-written:
+				if n > mostBytes {
+					t.Errorf("the server could send %d bytes, want the connection closed before %d", n, mostBytes)
+				}
+			case <-time.After(testTimeout):
+				t.Error("the connection was not closed")
+			}
+			if used := after.TotalAlloc - before.TotalAlloc; used > mostMemory {
+				t.Errorf("%d bytes were allocated for the response, want at most %d", used, mostMemory)
+			}
+			if n := s.responseMemory.used.Load(); n != 0 {
+				t.Errorf("%d bytes stay reserved after the request", n)
+			}
+		})
+	}
+}
--- a/router/direct/server.go
+++ b/router/direct/server.go
@@ -48,6 +48,7 @@
 		instances        atomic.Int64
 		closeCallerConns atomic.Bool // responses ask callers to close their connections
 		crashChecks      sync.WaitGroup
+		responseMemory   memoryBudget
 
 		mu      sync.Mutex    // also serialises changes of ownership
 		changed chan struct{} // closed at each change of a snapshot; guarded by mu
@@ -88,6 +89,12 @@
 	return func(s *Server) { s.retryBudget = newRetryBudget(l) }
 }
 
+// WithResponseMemory limits the bytes that response bodies over 64 KiB may occupy
+// together.
+func WithResponseMemory(bytes int64) Option {
+	return func(s *Server) { s.responseMemory.limit = bytes }
+}
+
 // WithCrashHandler sets the function that is called at each server crash that this
 // instance detects, with the fingerprint of the request that the server was
 // running.
@@ -107,6 +114,7 @@
 	s.servers.Store(&serverSnapshot{services: map[string][]*backend{}, incarnations: map[ownership.Incarnation]*knownServer{}})
 	s.ownership.Store(&map[string]*ownershipSnapshot{})
 	s.instances.Store(1)
+	s.responseMemory.limit = defaultResponseMemory
 	for _, o := range options {
 		o(s)
 	}
@@ -136,6 +144,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	r, route, fail := s.readRequest(hr, start)
+	defer func() { s.responseMemory.release(r.reservedBytes) }()
 	state := &requestState{startedAt: start, route: route}
 	if fail == nil {
 		state.service = s.splitter.nextPart(route, s.partDistance(r, start)).Service
@@ -372,7 +381,7 @@
 			return a.response, nil
 		}
 	case outcomeCancelled:
-		return nil, &requestFailure{code: code.CancelledRunning}
+		return nil, &requestFailure{code: a.code}
 	case outcomeUnsent:
 		if state.unsentAttempts >= maxUnsentAttempts || remaining <= 0 {
 			return state.finalResult(newFailure(code.BackendUnreachable, minUnsentBackoff, remaining))
@@ -467,7 +476,9 @@
 	if connection != "" {
 		h.Set("Connection", connection)
 	}
-	h.Set("Content-Length", strconv.Itoa(len(resp.body)))
+	if !resp.bodiless { // else the length that the server announced stays
+		h.Set("Content-Length", strconv.Itoa(len(resp.body)))
+	}
 	w.WriteHeader(resp.status)
 	if _, err := w.Write(resp.body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		s.metrics.undelivered.Add(1)
