--- a/core/ownership/events.go
+++ b/core/ownership/events.go
@@ -84,10 +84,10 @@
 	GrantCompleted struct {
 		Grant  SendGrant
 		SentAt time.Time // time just before the attempt to send; set also if Result is Unsent
-		// ConnectedAt is when the connection that carried the grant was opened; zero if none
-		// did.
-		ConnectedAt time.Time
-		Result      Result
+		// WrittenAt is a time just before the grant was written to its connection; zero if it
+		// was not.
+		WrittenAt time.Time
+		Result    Result
 	}
 
 	// ReleaseCompleted reports the outcome of a SendRelease. Handover is the opaque
--- a/core/ownership/fence_use.go
+++ b/core/ownership/fence_use.go
@@ -44,13 +44,13 @@
 	switch e.Result {
 	case Done:
 		u.noConnection, u.accepted = false, true
-		// The incarnation was running when the grant arrived, so after SentAt.
+		// The incarnation was running when the grant arrived, so after WrittenAt.
 		if u.connectedBy.IsZero() || !e.Grant.ConnectedBy.IsZero() {
-			u.connectedBy = later(u.connectedBy, later(e.SentAt, e.ConnectedAt))
+			u.connectedBy = later(u.connectedBy, later(e.SentAt, e.WrittenAt))
 		}
 	case Unanswered:
 		if u.connectedBy.IsZero() {
-			u.connectedBy = later(e.SentAt, e.ConnectedAt)
+			u.connectedBy = later(e.SentAt, e.WrittenAt)
 		}
 	case NoConnection:
 		u.noConnection = true
--- a/core/ownership/history_test.go
+++ b/core/ownership/history_test.go
@@ -516,7 +516,7 @@
 	c, connected := g.connect(e.Server.Address)
 	complete := func(r Result, d time.Duration) {
 		h.schedule(d, func() {
-			g.runProcess(func() { g.step(GrantCompleted{Grant: e, SentAt: sent, ConnectedAt: c.openedAt, Result: r}) })
+			g.runProcess(func() { g.step(GrantCompleted{Grant: e, SentAt: sent, WrittenAt: c.openedAt, Result: r}) })
 		})
 	}
 	if !connected {
--- a/router/granting/loop.go
+++ b/router/granting/loop.go
@@ -55,9 +55,9 @@
 
 	// GrantClient sends grants and releases to backend servers.
 	GrantClient interface {
-		// Grant sends a grant that arrives before ctx ends or never. It also returns when
-		// the connection that carried the grant was opened, by the clock of the Loop; zero
-		// if none did.
+		// Grant sends a grant that arrives before ctx ends or never. It also returns a time,
+		// by the clock of the Loop, just before the grant was written to its connection; zero
+		// if it was not.
 		Grant(ctx context.Context, g ownership.SendGrant) (ownership.Result, time.Time)
 		// Release asks for a range back. It returns the handover text for the next
 		// owner, if the server sent one.
@@ -296,18 +296,18 @@
 func (l *Loop) maySend() bool { return l.clock.Now().UnixNano() < l.epochValidUntil.Load() }
 
 func (l *Loop) sendGrant(ctx context.Context, g ownership.SendGrant) {
-	result, connectedAt := ownership.Unsent, time.Time{}
+	result, writtenAt := ownership.Unsent, time.Time{}
 	attemptedAt := l.clock.Now()
 	if left := g.Deadline.Sub(attemptedAt); left > 0 && l.maySend() {
 		sendCtx, cancel := context.WithTimeout(ctx, left)
-		result, connectedAt = l.client.Grant(sendCtx, g)
+		result, writtenAt = l.client.Grant(sendCtx, g)
 		cancel()
 	}
 	if result != ownership.Done {
 		l.log.Limited("grant-failed", "service", g.Service, "server", g.Server.ID, "from", g.Range.From, "to", g.Range.To,
 			"fence", g.Fence, "result", result.String())
 	}
-	l.Post(ctx, ownership.GrantCompleted{Grant: g, SentAt: attemptedAt, ConnectedAt: connectedAt, Result: result})
+	l.Post(ctx, ownership.GrantCompleted{Grant: g, SentAt: attemptedAt, WrittenAt: writtenAt, Result: result})
 }
 
 func (l *Loop) sendRelease(ctx context.Context, r ownership.SendRelease) {
