ownership: renewals that a write holds back are sent right after it

Cause: renewGrants noted the renewal of a server as sent before it found that the write in flight held it back.

Change: what may not be sent is skipped before the renewal is noted. TestNewGranterRenewsAfterOneWrite fails on the code before.

--- a/core/ownership/granter_test.go
+++ b/core/ownership/granter_test.go
@@ -377,3 +377,34 @@
 		}
 	}
 }
+
+// TestNewGranterRenewsAfterOneWrite has the role pass on and checks that the new granter
+// grants all keys under new fences right after the write that replaces them. A renewal
+// that is held back by the write must not count as sent.
+func TestNewGranterRenewsAfterOneWrite(t *testing.T) {
+	r := newTestRig(t, 3)
+	r.writesUnanswered = true
+	taken := r.g.service("s").partitionMap.Fence
+	r.grants = nil
+	r.step(EpochClaimed{Epoch: 2, Own: true, ClaimSentAt: r.now})
+	r.advance(200 * time.Millisecond)
+	if len(r.grants) > 0 {
+		t.Fatalf("%d grants before the write of the new fences, want none", len(r.grants))
+	}
+	r.step(PartitionMapWritten{Service: "s", Version: r.g.service("s").pendingMap.Version})
+	r.advance(100 * time.Millisecond)
+	held := map[uint32]bool{}
+	for _, g := range r.grants {
+		if g.Fence <= taken {
+			t.Errorf("keys %d-%d were granted under fence %d of the prior granter", g.Range.From, g.Range.To, g.Fence)
+		}
+		held[g.Range.From] = true
+	}
+	want := map[uint32]bool{}
+	for _, p := range r.g.service("s").partitionMap.Partitions {
+		want[p.From] = true
+	}
+	if diff := cmp.Diff(want, held); diff != "" {
+		t.Errorf("ranges granted within 100 ms of the write (-want +got):\n%s", diff)
+	}
+}
--- a/core/ownership/grants.go
+++ b/core/ownership/grants.go
@@ -156,6 +156,9 @@
 		if srv.Address == "" || unreachable[srv.Incarnation] || p.Moving && !s.moveGranted(p) {
 			continue
 		}
+		if s.writeInFlight && !s.pendingMapKeeps(p) || !s.mayGrant(srv, p.Fence) {
+			continue
+		}
 		isDue, known := due[srv]
 		if !known {
 			isDue = len(srv.inFlight) < maxInFlightPerPartition*len(partitions) && now.Sub(srv.lastRenewal) >= g.renewalInterval(srv)
@@ -167,9 +170,6 @@
 		if !isDue {
 			continue
 		}
-		if s.writeInFlight && !s.pendingMapKeeps(p) || !s.mayGrant(srv, p.Fence) {
-			continue
-		}
 		out = append(out, g.newGrant(s, srv, p, "", now))
 	}
 	return out
