--- a/core/ownership/granter.go
+++ b/core/ownership/granter.go
@@ -87,8 +87,8 @@
 		newestAcceptedSentAt time.Time // when the newest of the accepted grants was sent
 		failingSince         time.Time // when the first grant after the last accepted one failed; zero if none did
 		firstRetry           time.Time // when the first grant after failingSince was decided on; zero if there was none
+		replaced             bool      // another server has answered at its address since
 		fences               map[uint64]*fenceUse
-		replaced             bool // another server has answered at its address since
 	}
 
 	// move is the progress of a partition from its earlier holders to its owner.
