ownership, platform: epochs, fences and maps belong to an era of the store

Callers saw: two backend servers held the same keys for 0.5 to 2.8 s and both began requests on them, or a server got a key under a fence that another one had had, after the store came back from a copy some seconds old.

Cause: what the granter writes to the store is taken for complete and its counters for monotonic. A granter that reads the older copy does not know what was granted since, and neither waits for it nor for granters whose claims are lost; it gives out fences and epochs again; a granter that reads the copy finds no higher epoch and takes its own for confirmed; a reader at an offset that is given out again skips claims.

An epoch and a fence hold the era in their high bits. A confirmation counts only in the epoch's era. A partition map of an earlier era is stale: a granter that has no other waits until all granters of earlier eras have stopped and their grants have expired. For it to know of all moves, a granter that took over from one that has not resigned no longer takes the keys of an ended server without waiting. Deltas of maps name the epoch of their base.

A cold granter costs: after a restore that no granter outlives, keys are unserved for about 10 s.

--- a/core/ownership/events.go
+++ b/core/ownership/events.go
@@ -30,7 +30,9 @@
 		// Own means that this granter claimed Epoch, has claimed no other epoch since and
 		// is still assigned the granter role. Otherwise this granter does not grant under
 		// Epoch.
-		Own         bool
+		Own bool
+		// Loaded means that the claim was read as the newest one, without those before it.
+		Loaded      bool
 		ClaimSentAt time.Time // when this granter sent the claim; meaningful only if Own
 	}
 
@@ -52,8 +54,16 @@
 	Stopped struct{}
 
 	// EpochConfirmed reports that no epoch was above this granter's at the time when the
-	// request to the store was sent.
-	EpochConfirmed struct{ SentAt time.Time }
+	// request to the store was sent. Era is the store's era in its response; an epoch of
+	// another era is not confirmed.
+	EpochConfirmed struct {
+		SentAt time.Time
+		Era    uint64
+	}
+
+	// StoreRestored reports that the store has come back from an older copy. Era counts how
+	// often it has.
+	StoreRestored struct{ Era uint64 }
 
 	// ServersListed carries all backend servers of a service whose keys have
 	// exclusive owners.
@@ -177,6 +187,7 @@
 func (Resigned) event()            {}
 func (Stopped) event()             {}
 func (EpochConfirmed) event()      {}
+func (StoreRestored) event()       {}
 func (ServersListed) event()       {}
 func (DemandMeasured) event()      {}
 func (PartitionMapWritten) event() {}
--- a/core/ownership/fence_use.go
+++ b/core/ownership/fence_use.go
@@ -23,9 +23,9 @@
 	// broken. It is zero until a grant was answered or may have been carried out.
 	connectedBy time.Time
 	accepted    bool // a grant under the fence was answered with success
-	// noConnection is set if no connection of that incarnation was left at the last
-	// attempt.
-	noConnection bool
+	// lost is set if, at the last attempt, no connection of that incarnation was left, or
+	// the server had seen a higher fence.
+	lost bool
 }
 
 // use returns what is known of the grants under fence.
@@ -43,7 +43,7 @@
 	u.firstInFlight = false
 	switch e.Result {
 	case Done:
-		u.noConnection, u.accepted = false, true
+		u.lost, u.accepted = false, true
 		// The incarnation was running when the grant arrived, so after WrittenAt.
 		if u.connectedBy.IsZero() || !e.Grant.ConnectedBy.IsZero() {
 			u.connectedBy = later(u.connectedBy, later(e.SentAt, e.WrittenAt))
@@ -53,7 +53,7 @@
 			u.connectedBy = later(e.SentAt, e.WrittenAt)
 		}
 	case NoConnection:
-		u.noConnection = true
+		u.lost = true
 	case Refused, Unsent, Misdirected:
 	}
 }
@@ -78,13 +78,13 @@
 }
 
 // replaceLostFences gives a new fence to the partitions of prior granters, and to those
-// whose owner has no connection left that a grant under their fence may use. The owner
-// stays and serves meanwhile.
+// whose owner has no connection left that a grant under their fence may use, or has seen
+// a higher fence. The owner stays and serves meanwhile.
 func (pl *planner) replaceLostFences() {
 	for i, p := range pl.partitions {
 		t := pl.target(p.Owner)
 		inherited := pl.service.inherited(p.Fence)
-		if t == nil || !inherited && !t.use(p.Fence).noConnection {
+		if t == nil || !inherited && !t.use(p.Fence).lost {
 			continue
 		}
 		next := p
--- a/core/ownership/granter.go
+++ b/core/ownership/granter.go
@@ -30,18 +30,21 @@
 	// and passes events to it, but a Granter acts only while it holds an epoch.
 	Granter struct {
 		timing             Timing
-		epoch              uint64                       // 0 while this granter holds none
+		era                uint64                       // newest era of the store that is known
+		epoch              uint64                       // 0 while this granter holds none; of an earlier era than era while EpochOutdated
 		highestEpoch       uint64                       // of all epochs claimed by any granter
 		confirmedAt        time.Time                    // no epoch was above this granter's at this time
 		priorGranterBounds map[uint64]priorGranterBound // by epoch; those below jointBound.belowEpoch are ignored
 		jointBound         jointBound
+		hiddenClaimsEnd    time.Time // see observeHiddenClaims
 		services           map[string]*service
 	}
 
 	// priorGranterBound bounds the sends of one prior granter, the granter of an epoch
 	// below the highest one.
 	priorGranterBound struct {
-		stopsBy time.Time // sends nothing from then on
+		stopsBy  time.Time // sends nothing from then on
+		resigned bool
 		// lastUnanswered is an upper bound on when it sent its last unanswered grant. It is
 		// equal to stopsBy, since Resigned.SinceLastUnanswered is not used to shorten a wait.
 		lastUnanswered time.Time
@@ -59,11 +62,14 @@
 		// Fences up to inheritedFence may have been granted by prior granters; this granter
 		// grants none of them.
 		inheritedFence uint64
-		writeInFlight  bool
-		pendingMap     PartitionMap // the map being written, while writeInFlight
-		serversListed  bool         // a server list with at least one server has arrived
-		firstListedAt  time.Time
-		servers        map[Incarnation]*server
+		// continued is set if this granter was granting by partitionMap when the store came
+		// back from an older copy.
+		continued     bool
+		writeInFlight bool
+		pendingMap    PartitionMap // the map being written, while writeInFlight
+		serversListed bool         // a server list with at least one server has arrived
+		firstListedAt time.Time
+		servers       map[Incarnation]*server
 		// Start of the latest incarnation under each ID and at each address, in Unix
 		// milliseconds.
 		latestStartByID      map[string]int64
@@ -190,17 +196,22 @@
 // scans all partitions; a completed write or release scans the partitions of its
 // service. A completed grant scans nothing, because hundreds complete each second.
 func (g *Granter) Step(e Event, now time.Time) []Effect {
+	if g.EpochOutdated() && !g.MaySend(now) {
+		g.epoch = 0
+	}
 	switch e := e.(type) {
+	case StoreRestored:
+		g.observeEra(e.Era, now)
 	case PartitionMapRead:
 		g.applyPartitionMap(e.Map, now)
 	case EpochClaimed:
 		g.observeClaim(e, now)
 	case Resigned:
-		g.priorGranterBounds[e.Epoch] = priorGranterBound{stopsBy: now, lastUnanswered: now}
+		g.priorGranterBounds[e.Epoch] = priorGranterBound{stopsBy: now, lastUnanswered: now, resigned: true}
 	case Stopped:
 		g.epoch = 0
 	case EpochConfirmed:
-		if e.SentAt.After(g.confirmedAt) {
+		if e.Era == EraOf(g.epoch) && e.SentAt.After(g.confirmedAt) {
 			g.confirmedAt = e.SentAt
 		}
 	case ServersListed:
@@ -228,7 +239,7 @@
 // advanceMovesOf advances the moves of the named service if the granter may send.
 func (g *Granter) advanceMovesOf(name string, now time.Time) []Effect {
 	s := g.service(name)
-	if !s.serversListed || !g.MaySend(now) {
+	if !s.serversListed || !g.MaySend(now) || !g.mayAssign(s, now) {
 		return nil
 	}
 	return g.advanceMoves(s, now)
@@ -274,11 +285,13 @@
 	}
 	s := g.service(m.Service)
 	newer := m.Epoch > s.partitionMap.Epoch || m.Epoch == s.partitionMap.Epoch && m.Version > s.partitionMap.Version
-	if newer {
-		s.partitionMap = m
-		if m.Epoch != g.epoch {
-			s.inheritedFence = m.Fence
-		}
+	if !newer {
+		return
+	}
+	own := m.Epoch == g.epoch || s.continued && m.Epoch == s.partitionMap.Epoch
+	s.partitionMap = m
+	if !own {
+		s.inheritedFence, s.continued = m.Fence, false
 	}
 }
 
@@ -396,6 +409,7 @@
 		}
 	case Refused:
 		s.raiseFence(e.Grant.Fence)
+		srv.use(e.Grant.Fence).lost = true
 	case NoConnection: // see replaceLostFences
 	}
 	if m, ok := s.moves[MoveKey{e.Grant.Fence, e.Grant.Range}]; ok && m.grantInFlight {
--- a/core/ownership/granter_test.go
+++ b/core/ownership/granter_test.go
@@ -43,7 +43,7 @@
 func (r *testRig) advance(d time.Duration) {
 	for end := r.now.Add(d); r.now.Before(end); {
 		r.now = r.now.Add(50 * time.Millisecond)
-		r.g.Step(EpochConfirmed{SentAt: r.now}, r.now)
+		r.g.Step(EpochConfirmed{SentAt: r.now, Era: EraOf(r.g.Epoch())}, r.now)
 		r.step(Ticked{})
 	}
 }
--- a/core/ownership/grants.go
+++ b/core/ownership/grants.go
@@ -14,11 +14,15 @@
 		if !s.serversListed {
 			continue
 		}
-		if !s.writeInFlight && !now.Before(s.nextPlanAt) {
-			out = append(out, g.plan(s, now)...)
+		if g.mayAssign(s, now) {
+			if !s.writeInFlight && !now.Before(s.nextPlanAt) {
+				out = append(out, g.plan(s, now)...)
+			}
+			out = append(out, g.advanceMoves(s, now)...)
+		}
+		if g.mayRenew(s, now) {
+			out = append(out, g.renewGrants(s, now)...)
 		}
-		out = append(out, g.advanceMoves(s, now)...)
-		out = append(out, g.renewGrants(s, now)...)
 	}
 	return out
 }
@@ -89,7 +93,7 @@
 // release is enough unless an unanswered grant may still be carried out, or the holder
 // may hold the range under another fence than the one released.
 func (g *Granter) revoked(s *service, rev *revocation, now time.Time) bool {
-	if !now.Before(g.expiresAt(rev)) || s.holdsNothing(rev.holder.Incarnation) {
+	if !now.Before(g.expiresAt(rev)) || g.knownToHoldNothing(s, rev.holder.Incarnation, now) {
 		return true
 	}
 	return rev.released && rev.accepted && !now.Before(g.unansweredUntil(rev))
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -75,7 +75,7 @@
 		pl.assignGaps()
 		pl.balance()
 	}
-	if !pl.changed {
+	if !pl.changed && !g.mapOutdated(s) {
 		return nil
 	}
 	next := s.partitionMap.WithPartitions(pl.partitions)
@@ -86,7 +86,7 @@
 }
 
 func (g *Granter) newPlanner(s *service, now time.Time) *planner {
-	pl := &planner{granter: g, service: s, now: now, partitions: slices.Clone(s.partitionMap.Partitions), nextFence: s.partitionMap.Fence + 1}
+	pl := &planner{granter: g, service: s, now: now, partitions: slices.Clone(s.partitionMap.Partitions), nextFence: max(s.partitionMap.Fence+1, firstFence(g.era))}
 	unreachable := s.unreachableServers(now)
 	for _, srv := range s.servers {
 		if s.eligible(srv) && !unreachable[srv.Incarnation] {
@@ -234,7 +234,9 @@
 	} else {
 		m.revocations = append(m.revocations, pl.granter.newRevocation(pl.service, Holder{p.Owner, p.Fence}))
 	}
-	m.revocations = slices.DeleteFunc(m.revocations, func(rev *revocation) bool { return pl.service.holdsNothing(rev.holder.Incarnation) })
+	m.revocations = slices.DeleteFunc(m.revocations, func(rev *revocation) bool {
+		return pl.granter.knownToHoldNothing(pl.service, rev.holder.Incarnation, pl.now)
+	})
 	for _, rev := range m.revocations {
 		next.EarlierHolders = append(next.EarlierHolders, rev.holder)
 		next.WaitMillis = max(next.WaitMillis, pl.waitMillis(rev))
--- a/core/ownership/prior_granters.go
+++ b/core/ownership/prior_granters.go
@@ -13,17 +13,24 @@
 func (g *Granter) observeClaim(e EpochClaimed, now time.Time) {
 	g.observeJointBound(e.Prior, now.Add(e.PriorSendWindow))
 	for _, old := range []uint64{g.highestEpoch, e.Prior, e.Epoch} {
-		if old > 0 && old < max(g.highestEpoch, e.Epoch) {
+		if old != FirstEpoch(EraOf(old)) && old < max(g.highestEpoch, e.Epoch) {
 			g.boundPriorGranter(old, now)
 		}
 	}
+	if g.EpochOutdated() && e.Epoch > g.epoch && !e.Own {
+		g.epoch = 0
+	}
 	if e.Epoch <= g.highestEpoch {
 		return
 	}
+	if e.Loaded {
+		g.observeHiddenClaims(now)
+	}
+	continues := g.EpochOutdated() && g.MaySend(now)
 	g.highestEpoch = e.Epoch
 	g.epoch = 0
 	if e.Own {
-		g.startEpoch(e.Epoch, e.ClaimSentAt)
+		g.startEpoch(e.Epoch, e.ClaimSentAt, continues)
 	}
 }
 
@@ -52,11 +59,16 @@
 // startEpoch starts granting under an epoch that this granter claimed. The epoch
 // counts as confirmed only as of claimSentAt: no epoch was above it when the store
 // accepted the claim, but a higher one may have been claimed before this claim was
-// read back.
-func (g *Granter) startEpoch(epoch uint64, claimSentAt time.Time) {
+// read back. With continues, this granter still held an epoch of an earlier era of the
+// store: it goes on with the services whose keys it has all assigned.
+func (g *Granter) startEpoch(epoch uint64, claimSentAt time.Time, continues bool) {
 	g.epoch, g.confirmedAt = epoch, claimSentAt
 	for _, s := range g.services {
 		s.writeInFlight = false
+		s.continued = continues && len(s.partitionMap.Gaps()) == 0
+		if s.continued {
+			continue
+		}
 		s.inheritedFence = s.partitionMap.Fence
 		s.moves = map[MoveKey]*move{}
 		for _, srv := range s.servers {
@@ -66,6 +78,27 @@
 	}
 }
 
+// knownToHoldNothing reports whether no server holds anything that was granted to
+// incarnation inc, and no prior granter can rely on that any more. A granter that has
+// taken over from one that has not resigned waits until the grants of that one have
+// expired: if the store comes back from an older copy without its claim, the prior
+// granter goes on and must know of all moves.
+func (g *Granter) knownToHoldNothing(s *service, inc Incarnation, now time.Time) bool {
+	return !now.Before(g.unresignedEnd().Add(g.maxGrantLifetime())) && s.holdsNothing(inc)
+}
+
+// unresignedEnd returns the time from which no prior granter sends anything that has not
+// resigned; zero if there is none.
+func (g *Granter) unresignedEnd() time.Time {
+	at := g.jointBound.stopsBy
+	for epoch, bound := range g.priorGranterBounds {
+		if epoch >= g.jointBound.belowEpoch && !bound.resigned {
+			at = later(at, bound.stopsBy)
+		}
+	}
+	return at
+}
+
 // PriorSendWindow returns how long after now granters of epochs below the highest
 // claimed one may still send, or 0 if all of these have stopped.
 func (g *Granter) PriorSendWindow(now time.Time) time.Duration {
--- a/router/datagram/datagram.go
+++ b/router/datagram/datagram.go
@@ -57,8 +57,9 @@
 	// End says how far a topic of the store goes, as the sender knows it.
 	End struct {
 		Topic string `cbor:"1,keyasint"`
-		End   uint64 `cbor:"2,keyasint"` // offset after the last record
-		AgeMs int64  `cbor:"3,keyasint"` // since the store said so
+		End   uint64 `cbor:"2,keyasint"`           // offset after the last record
+		AgeMs int64  `cbor:"3,keyasint"`           // since the store said so
+		Era   uint64 `cbor:"4,keyasint,omitempty"` // of the store in which End is an offset
 	}
 
 	// Record is one record of a topic.
@@ -67,7 +68,10 @@
 		Offset uint64 `cbor:"2,keyasint"`
 		Key    string `cbor:"3,keyasint"`
 		Value  []byte `cbor:"4,keyasint"`
-		Base   uint64 `cbor:"5,keyasint,omitempty"` // version of the book from which Value differs; 0 when Value is whole
+		Base   uint64 `cbor:"5,keyasint,omitempty"` // version of the partition map from which Value differs; 0 when Value is whole
+
+		BaseEpoch uint64 `cbor:"6,keyasint,omitempty"` // epoch of that partition map
+		Era       uint64 `cbor:"7,keyasint,omitempty"` // of the store in which Offset is an offset
 	}
 
 	// Resigned says that the granter of an epoch has stopped.
--- a/router/granting/loop.go
+++ b/router/granting/loop.go
@@ -47,7 +47,8 @@
 		Claim(ctx context.Context, epoch, prior uint64, priorSendWindow time.Duration) error
 		// Write appends a partition map under epoch as the write with the given
 		// sequence number, from 1. The same write may be repeated. ErrFenced and
-		// ErrRefused mean that this attempt was not carried out and never will be.
+		// ErrRefused mean that this attempt was not carried out and never will be, or that
+		// the store has come back from an older copy since epoch was claimed.
 		Write(ctx context.Context, epoch, sequence uint64, m ownership.PartitionMap) error
 		// Resign records that a granter has stopped.
 		Resign(ctx context.Context, r ownership.Resigned) error
@@ -81,9 +82,13 @@
 		calls           sync.WaitGroup
 
 		claimedEpoch atomic.Uint64 // claimed last by this process
+		heldEpoch    atomic.Uint64 // held by the granter; 0 if none
+		storeEra     atomic.Uint64 // set by SetStoreEra
+		claimedEra   atomic.Uint64 // newest era of the store in which a claim is known
 		highestEpoch uint64        // claimed by any granter; used by Run alone
 		lostEpoch    uint64        // epoch lost to a higher one and not resigned yet; 0 if none; used by Run alone
-		lastClaimAt  time.Time     // when the last claim was sent; used by Run alone
+		claimSentAt  time.Time     // when the claim of claimedEpoch was first sent; used by Run alone
+		lastClaimAt  time.Time     // when a claim was last sent; used by Run alone
 		writes       chan mapWrite
 	}
 
@@ -123,12 +128,24 @@
 // SetAssigned sets whether this instance should be the granter.
 func (l *Loop) SetAssigned(assigned bool) { l.assigned.Store(assigned) }
 
+// SetStoreEra sets how often the store has come back from an older copy. It must be called
+// before anything that was read from the store in that era is posted. A lower value than
+// the present one is ignored.
+func (l *Loop) SetStoreEra(era uint64) {
+	for {
+		old := l.storeEra.Load()
+		if era <= old || l.storeEra.CompareAndSwap(old, era) {
+			return
+		}
+	}
+}
+
 // ResignFormerProcess records in the store that the granter of epoch, which this instance
 // claimed, has stopped. It does nothing if epoch is the one that this process claimed
-// last. Any other epoch was claimed by a former process of the instance, which no
-// longer runs, or earlier by this process, which claims again only when it holds none.
+// last, or that this process holds. Any other epoch was claimed by a former process of
+// the instance, which no longer runs, or earlier by this process.
 func (l *Loop) ResignFormerProcess(ctx context.Context, epoch uint64) {
-	if l.IsClaimedEpoch(epoch) {
+	if l.IsClaimedEpoch(epoch) || epoch == l.heldEpoch.Load() {
 		return
 	}
 	l.calls.Go(func() { l.writeResignation(ctx, ownership.Resigned{Epoch: epoch}) })
@@ -137,12 +154,16 @@
 // IsClaimedEpoch reports whether epoch is the one that this process claimed last.
 func (l *Loop) IsClaimedEpoch(epoch uint64) bool { return l.claimedEpoch.Load() == epoch }
 
+// ClaimedInEra reports whether a claim of the given era of the store, or of a later one,
+// is known.
+func (l *Loop) ClaimedInEra(era uint64) bool { return l.claimedEra.Load() >= era }
+
 // HoldsEpoch reports whether the instance holds an epoch, even if its confirmation has
 // expired and the instance may not send at present.
 func (l *Loop) HoldsEpoch() bool { return l.epochValidUntil.Load() != 0 }
 
-// ClaimedEpoch returns the epoch that this process claimed last.
-func (l *Loop) ClaimedEpoch() uint64 { return l.claimedEpoch.Load() }
+// HeldEpoch returns the epoch that the granter holds, or 0 if it holds none.
+func (l *Loop) HeldEpoch() uint64 { return l.heldEpoch.Load() }
 
 // MaySend reports whether the instance holds an epoch under which it may send.
 func (l *Loop) MaySend() bool { return l.maySend() }
@@ -173,19 +194,29 @@
 // resignation is recorded in the store later, by resignLostEpoch.
 func (l *Loop) handle(ctx context.Context, e ownership.Event) {
 	heldEpoch := l.granter.Epoch()
-	if seen, ok := e.(ownership.EpochClaimed); ok {
+	if era := l.storeEra.Load(); era > l.granter.Era() {
+		l.highestEpoch = max(l.highestEpoch, ownership.FirstEpoch(era))
+		l.step(ctx, ownership.StoreRestored{Era: era})
+	}
+	reason := "the store came back from an older copy and has not confirmed the epoch in time"
+	if event, ok := e.(ownership.EpochClaimed); ok {
 		// The granter does not start the epoch of a claim that is read back while this
-		// instance is not assigned, or after it has sent a later claim.
-		seen.Own, seen.ClaimSentAt = l.IsClaimedEpoch(seen.Epoch) && l.assigned.Load(), l.lastClaimAt
-		e = seen
-		if seen.Epoch > l.highestEpoch {
-			l.highestEpoch = seen.Epoch
-			l.log.Event("granting-role", "epoch", seen.Epoch, "prior", seen.Prior, "own", seen.Own)
+		// instance is not assigned, after it has sent a later claim, or after the store came
+		// back from a copy.
+		mayOwn := l.assigned.Load() || l.granter.EpochOutdated()
+		event.Own = mayOwn && l.IsClaimedEpoch(event.Epoch) && ownership.EraOf(event.Epoch) == l.granter.Era()
+		event.ClaimSentAt = l.claimSentAt
+		reason = "another granter claimed a higher epoch"
+		e = event
+		if event.Epoch > l.highestEpoch {
+			l.highestEpoch = event.Epoch
+			l.claimedEra.Store(ownership.EraOf(event.Epoch))
+			l.log.Event("granting-role", "epoch", event.Epoch, "prior", event.Prior, "own", event.Own)
 		}
 	}
 	l.step(ctx, e)
-	if heldEpoch > 0 && l.granter.Epoch() != heldEpoch {
-		l.log.Event("granting-ended", "epoch", heldEpoch, "reason", "another granter claimed a higher epoch")
+	if heldEpoch > 0 && l.granter.Epoch() == 0 {
+		l.log.Event("granting-ended", "epoch", heldEpoch, "reason", reason)
 		l.assigned.Store(false) // until SetAssigned is called again, this instance does not claim the role back
 		l.lostEpoch = heldEpoch
 	}
@@ -208,23 +239,28 @@
 
 // tick passes a tick to the granter if it holds an epoch, and otherwise claims one if
 // the instance is assigned. A granter that is no longer assigned goes on until another
-// one has claimed a higher epoch, so that no grant expires for lack of renewal.
+// one has claimed a higher epoch, so that no grant expires for lack of renewal. For the
+// same reason a granter whose epoch is of an earlier era of the store claims another one.
 func (l *Loop) tick(ctx context.Context) {
 	now := l.clock.Now()
 	l.resignLostEpoch(ctx)
-	if l.granter.Epoch() > 0 {
-		l.step(ctx, ownership.Ticked{})
-		return
-	}
-	if l.assigned.Load() && now.Sub(l.lastClaimAt) >= claimRetryInterval {
+	l.handle(ctx, ownership.Ticked{})
+	mayClaim := l.granter.EpochOutdated() || l.granter.Epoch() == 0 && l.assigned.Load()
+	if mayClaim && now.Sub(l.lastClaimAt) >= claimRetryInterval {
 		l.lastClaimAt = now
 		l.claimEpoch(ctx)
 	}
 }
 
+// claimEpoch claims a new epoch. A granter that holds one of an earlier era of the store
+// repeats its claim instead, so that it is not deposed by a late claim of its own.
 func (l *Loop) claimEpoch(ctx context.Context) {
-	epoch := (l.highestEpoch>>epochRandomBits+1)<<epochRandomBits | rand.Uint64N(1<<epochRandomBits)
-	l.claimedEpoch.Store(epoch)
+	epoch := l.claimedEpoch.Load()
+	if !l.granter.EpochOutdated() || ownership.EraOf(epoch) != l.granter.Era() {
+		epoch = (l.highestEpoch>>epochRandomBits+1)<<epochRandomBits | rand.Uint64N(1<<epochRandomBits)
+		l.claimedEpoch.Store(epoch)
+		l.claimSentAt = l.clock.Now()
+	}
 	prior, window := l.highestEpoch, l.granter.PriorSendWindow(l.clock.Now())
 	l.calls.Go(func() {
 		if err := l.store.Claim(ctx, epoch, prior, window); err != nil {
@@ -261,6 +297,7 @@
 
 func (l *Loop) step(ctx context.Context, e ownership.Event) {
 	effects := l.granter.Step(e, l.clock.Now())
+	l.heldEpoch.Store(l.granter.Epoch())
 	if until := l.granter.EpochValidUntil(); until.IsZero() {
 		l.epochValidUntil.Store(0)
 	} else {
@@ -272,7 +309,7 @@
 }
 
 // carryOut carries out e. A map is written under the epoch claimed last: the granter
-// holds that epoch, since it claims no other while it holds one.
+// holds that epoch, since it writes nothing while it holds one of an earlier era.
 func (l *Loop) carryOut(ctx context.Context, e ownership.Effect) {
 	switch e := e.(type) {
 	case ownership.WritePartitionMap:
@@ -351,7 +388,7 @@
 	for ctx.Err() == nil {
 		err := l.store.Write(ctx, write.epoch, sequence, write.partitionMap)
 		if err == nil {
-			l.Post(ctx, ownership.EpochConfirmed{SentAt: sent})
+			l.Post(ctx, ownership.EpochConfirmed{SentAt: sent, Era: ownership.EraOf(write.epoch)})
 			l.Post(ctx, ownership.PartitionMapWritten{Service: write.partitionMap.Service, Version: write.partitionMap.Version})
 			return true
 		}
--- a/router/granting/loop_test.go
+++ b/router/granting/loop_test.go
@@ -30,6 +30,7 @@
 	scriptedStore struct {
 		clock  *manualClock
 		errors []error
+		claims chan uint64 // epochs claimed
 	}
 
 	// countingClient counts the grants sent.
@@ -51,8 +52,12 @@
 	c.now = c.now.Add(d)
 }
 
-func (s *scriptedStore) Claim(context.Context, uint64, uint64, time.Duration) error { return nil }
-func (s *scriptedStore) Resign(context.Context, ownership.Resigned) error           { return nil }
+func (s *scriptedStore) Claim(_ context.Context, epoch, _ uint64, _ time.Duration) error {
+	s.claims <- epoch
+	return nil
+}
+
+func (s *scriptedStore) Resign(context.Context, ownership.Resigned) error { return nil }
 
 func (s *scriptedStore) Write(context.Context, uint64, uint64, ownership.PartitionMap) error {
 	s.clock.advance(time.Second)
@@ -75,7 +80,7 @@
 	clock := &manualClock{now: time.Unix(1000, 0)}
 	client := &countingClient{}
 	log := oplog.New(io.Discard, "test")
-	l := NewLoop(testTiming, &scriptedStore{clock: clock, errors: writes}, client, func(ownership.Granted) {}, clock, log)
+	l := NewLoop(testTiming, &scriptedStore{clock: clock, errors: writes, claims: make(chan uint64, 8)}, client, func(ownership.Granted) {}, clock, log)
 	return l, clock, client
 }
 
@@ -122,3 +127,50 @@
 		t.Errorf("event posted to the granter (-want +got):\n%s", diff)
 	}
 }
+
+// TestGranterClaimsAgainAfterRestore checks that a granter claims an epoch of the new era
+// when the store has come back from an older copy, although it is not assigned the role,
+// and goes on under it. It repeats the claim under the same epoch: a second epoch would end
+// the first one.
+func TestGranterClaimsAgainAfterRestore(t *testing.T) {
+	l, clock, _ := newTestLoop(t)
+	store := l.store.(*scriptedStore)
+	l.SetAssigned(true)
+	l.tick(t.Context())
+	held := <-store.claims
+	l.handle(t.Context(), ownership.EpochClaimed{Epoch: held})
+	l.SetAssigned(false)
+	clock.advance(time.Second)
+	l.SetStoreEra(1)
+	l.tick(t.Context())
+	claimed := <-store.claims
+	clock.advance(claimRetryInterval)
+	l.tick(t.Context())
+	if diff := cmp.Diff(claimed, <-store.claims); diff != "" {
+		t.Errorf("epoch of the repeated claim (-first +second):\n%s", diff)
+	}
+	if ownership.EraOf(held) != 0 || ownership.EraOf(claimed) != 1 {
+		t.Errorf("epochs claimed before and after the store came back: %d, %d; want eras 0 and 1", held, claimed)
+	}
+	if got := l.HeldEpoch(); got != held {
+		t.Errorf("epoch held before the claim is read back: %d, want %d", got, held)
+	}
+	l.handle(t.Context(), ownership.EpochClaimed{Epoch: claimed})
+	if got := l.HeldEpoch(); got != claimed {
+		t.Errorf("epoch held after the claim was read back: %d, want %d", got, claimed)
+	}
+}
+
+// TestClaimOfEarlierEraGivesNoRole checks that a claim which the store carried out only
+// after it came back from an older copy, or which is in the copy, starts no epoch.
+func TestClaimOfEarlierEraGivesNoRole(t *testing.T) {
+	l, _, _ := newTestLoop(t)
+	l.SetAssigned(true)
+	l.tick(t.Context())
+	claimed := <-l.store.(*scriptedStore).claims
+	l.SetStoreEra(1)
+	l.handle(t.Context(), ownership.EpochClaimed{Epoch: claimed})
+	if got := l.HeldEpoch(); got != 0 {
+		t.Errorf("epoch held: %d, want none", got)
+	}
+}
