ownership: the writer of a partition map counts as a prior granter

Cause: claims share one key, so an instance that loads the newest records reads only the last claim. A granter whose claim was hidden by later ones was waited for only through the bounds of those, which their resignations shorten, although its partition map shows that it granted.

Change: a map of an epoch below the highest one bounds its writer as a claim would.

Evidence: found by reading, while looking for where else a load of the newest records hides something. TestWriterOfMapCountsAsPriorGranter failed before (0 s instead of 6 s). No play has shown it.

--- a/core/ownership/granter.go
+++ b/core/ownership/granter.go
@@ -282,6 +282,9 @@
 	// joint bound that no resignation shortens.
 	if m.Epoch != g.epoch {
 		g.observeJointBound(m.Epoch, now.Add(time.Duration(m.PriorSendMillis)*time.Millisecond))
+		if m.Epoch < g.highestEpoch {
+			g.boundPriorGranter(m.Epoch, now) // its claim may have been hidden by later ones
+		}
 	}
 	s := g.service(m.Service)
 	newer := m.Epoch > s.partitionMap.Epoch || m.Epoch == s.partitionMap.Epoch && m.Version > s.partitionMap.Version
--- a/core/ownership/granter_test.go
+++ b/core/ownership/granter_test.go
@@ -408,3 +408,17 @@
 		t.Errorf("ranges granted within 100 ms of the write (-want +got):\n%s", diff)
 	}
 }
+
+// TestWriterOfMapCountsAsPriorGranter guards against a granter that is not waited for
+// because only the newest claims were read, not its own, while its partition map shows that
+// it granted.
+func TestWriterOfMapCountsAsPriorGranter(t *testing.T) {
+	g := NewGranter(testTiming)
+	now := time.Unix(1000, 0)
+	g.Step(EpochClaimed{Epoch: 2, Loaded: true}, now) // the claimer had not read the claim of epoch 1
+	g.Step(PartitionMapRead{Map: PartitionMap{Service: "s", Epoch: 1, Version: 1}}, now)
+	g.Step(Resigned{Epoch: 2}, now)
+	if got := g.PriorSendWindow(now); got != testTiming.EpochTTL {
+		t.Errorf("granters of lower epochs may send for %v, want %v for the one that wrote the map", got, testTiming.EpochTTL)
+	}
+}
