ownership: the result of a write of an earlier epoch is not taken for a later one's

Cause: a granter that starts another epoch while a write of its earlier one is still repeated plans a map with the same version. The result of the earlier write named only the version, so it ended the later write: the granter planned another map with that version, and took it for stored when the store had the first one.

Change: the result names the map's epoch.

TestWriteResultOfFormerEpochIsIgnored failed before: two maps of one epoch and version, and fences up to another number than in the store's map.

--- a/core/ownership/events.go
+++ b/core/ownership/events.go
@@ -81,11 +81,13 @@
 		Slowness        map[string]float64 // by server ID: service time there relative to the mean of all servers; above 0
 	}
 
-	// PartitionMapWritten reports the outcome of a WritePartitionMap. Failed means that
+	// PartitionMapWritten reports the outcome of the WritePartitionMap of a map with this
+	// epoch and version. Failed means that
 	// the last attempt was refused or fenced and will not be carried out. If it was
 	// fenced, an earlier attempt without a response may have been carried out.
 	PartitionMapWritten struct {
 		Service string
+		Epoch   uint64
 		Version uint64
 		Failed  bool
 	}
--- a/core/ownership/granter.go
+++ b/core/ownership/granter.go
@@ -364,7 +364,7 @@
 
 func (g *Granter) recordWriteResult(e PartitionMapWritten, now time.Time) {
 	s := g.service(e.Service)
-	if !s.writeInFlight || s.pendingMap.Version != e.Version {
+	if !s.writeInFlight || s.pendingMap.Epoch != e.Epoch || s.pendingMap.Version != e.Version {
 		return
 	}
 	s.writeInFlight = false
--- a/core/ownership/granter_test.go
+++ b/core/ownership/granter_test.go
@@ -58,7 +58,7 @@
 				}
 			}
 			if !r.writesUnanswered {
-				r.step(PartitionMapWritten{Service: "s", Version: effect.Map.Version, Failed: r.writesFail})
+				r.step(PartitionMapWritten{Service: "s", Epoch: effect.Map.Epoch, Version: effect.Map.Version, Failed: r.writesFail})
 			}
 		case SendGrant:
 			result := Done
@@ -391,7 +391,7 @@
 	if len(r.grants) > 0 {
 		t.Fatalf("%d grants before the write of the new fences, want none", len(r.grants))
 	}
-	r.step(PartitionMapWritten{Service: "s", Version: r.g.service("s").pendingMap.Version})
+	r.step(PartitionMapWritten{Service: "s", Epoch: r.g.Epoch(), Version: r.g.service("s").pendingMap.Version})
 	r.advance(100 * time.Millisecond)
 	held := map[uint32]bool{}
 	for _, g := range r.grants {
@@ -422,3 +422,45 @@
 		t.Errorf("granters of lower epochs may send for %v, want %v for the one that wrote the map", got, testTiming.EpochTTL)
 	}
 }
+
+// TestWriteResultOfFormerEpochIsIgnored guards against a granter that takes a partition map
+// for stored which is not. A write of the earlier epoch is still being repeated when the
+// granter goes on in a new era. Its result has the version of the first map of the new
+// epoch.
+func TestWriteResultOfFormerEpochIsIgnored(t *testing.T) {
+	r := newTestRig(t, 6)
+	var writes []PartitionMap
+	step := func(e Event) {
+		for _, effect := range r.g.Step(e, r.now) {
+			if w, ok := effect.(WritePartitionMap); ok {
+				writes = append(writes, w.Map)
+			}
+		}
+	}
+	tick := func() {
+		r.now = r.now.Add(50 * time.Millisecond)
+		step(Ticked{})
+	}
+	r.servers[0].Leaving = true
+	step(ServersListed{Service: "s", Servers: r.servers})
+	tick() // writes[0], of the earlier epoch; the store is away
+	step(StoreRestored{Era: 1})
+	step(EpochClaimed{Epoch: FirstEpoch(1) + 1, Prior: FirstEpoch(1), Own: true, Loaded: true, ClaimSentAt: r.now})
+	tick() // writes[1], queued behind writes[0]
+	if len(writes) != 2 {
+		t.Fatalf("%d maps were to be written, want 2", len(writes))
+	}
+	step(PartitionMapWritten{Service: "s", Epoch: writes[0].Epoch, Version: writes[0].Version, Failed: true})
+	r.servers[1].Leaving = true // until the next plan, another server leaves
+	step(ServersListed{Service: "s", Servers: r.servers})
+	for range 12 {
+		tick()
+	}
+	if len(writes) > 2 && writes[2].Version == writes[1].Version {
+		t.Errorf("two maps of epoch %d have version %d, with fences up to %d and %d", writes[1].Epoch, writes[1].Version, writes[1].Fence, writes[2].Fence)
+	}
+	step(PartitionMapWritten{Service: "s", Epoch: writes[1].Epoch, Version: writes[1].Version}) // writes[1] is stored
+	if got, want := r.g.service("s").partitionMap.Fence, writes[1].Fence; got != want {
+		t.Errorf("the granter uses a map with fences up to %d, want %d as in the map that the store has", got, want)
+	}
+}
--- a/router/granting/loop.go
+++ b/router/granting/loop.go
@@ -389,13 +389,13 @@
 		err := l.store.Write(ctx, write.epoch, sequence, write.partitionMap)
 		if err == nil {
 			l.Post(ctx, ownership.EpochConfirmed{SentAt: sent, Era: ownership.EraOf(write.epoch)})
-			l.Post(ctx, ownership.PartitionMapWritten{Service: write.partitionMap.Service, Version: write.partitionMap.Version})
+			l.Post(ctx, ownership.PartitionMapWritten{Service: write.partitionMap.Service, Epoch: write.partitionMap.Epoch, Version: write.partitionMap.Version})
 			return true
 		}
 		l.log.Limited("write-failed", "epoch", write.epoch, "service", write.partitionMap.Service, "version", write.partitionMap.Version, "reason", err.Error())
 		refused := errors.Is(err, ErrRefused) && !unanswered
 		if refused || errors.Is(err, ErrFenced) {
-			l.Post(ctx, ownership.PartitionMapWritten{Service: write.partitionMap.Service, Version: write.partitionMap.Version, Failed: true})
+			l.Post(ctx, ownership.PartitionMapWritten{Service: write.partitionMap.Service, Epoch: write.partitionMap.Epoch, Version: write.partitionMap.Version, Failed: true})
 			return false
 		}
 		unanswered = unanswered || !errors.Is(err, ErrRefused)
