granting: an instance that goes on resigns none of its own epochs

Cause: after two restores in quick succession the second copy can hold the granter's claim of the first era, under whose fences it still renews. Having read it, the instance reported that the granter of that epoch had stopped, as it does for its former processes. A granter whose claim is lost would then no longer wait for those grants.

Change: the process remembers which epochs it claimed and resigns none of them while it holds one.

Evidence: found by a reviewer; TestContinuedEpochIsNotResigned failed before. No play has shown it.

--- a/core/ownership/era_test.go
+++ b/core/ownership/era_test.go
@@ -78,7 +78,7 @@
 // lost claims can have no grants in force.
 func TestGranterGoesOnAfterRestore(t *testing.T) {
 	r := newTestRig(t, 6)
-	r.grants = nil
+	r.grants, r.firstMoveGrantAt = nil, time.Time{}
 	r.now = r.now.Add(2 * time.Second) // the store is away
 	began := r.now
 	r.step(StoreRestored{Era: 1})
@@ -87,7 +87,7 @@
 	r.servers[0].Leaving = true
 	r.step(ServersListed{Service: "s", Servers: r.servers})
 	r.advance(restoreWait - 200*time.Millisecond)
-	if !r.firstMoveGrantAt.Before(began) {
+	if !r.firstMoveGrantAt.IsZero() {
 		t.Errorf("a key moved %v after the store came back, want %v or later", r.firstMoveGrantAt.Sub(began), restoreWait)
 	}
 	renewedAt := map[uint32]time.Time{}
@@ -104,7 +104,6 @@
 	if got := r.g.service("s").partitionMap.Epoch; got != r.g.Epoch() {
 		t.Errorf("the store's partition map is of epoch %d, want it written again under %d", got, r.g.Epoch())
 	}
-	r.firstMoveGrantAt = time.Time{}
 	r.advance(2 * time.Second)
 	if r.firstMoveGrantAt.IsZero() {
 		t.Errorf("the leaving server's keys have not moved %v after the store came back", r.now.Sub(began))
@@ -184,3 +183,30 @@
 		})
 	}
 }
+
+// TestHiddenGranterOfSameEraIsWaitedFor guards against two owners after two granters have
+// claimed in a new era without knowing of each other. The granter with the higher epoch
+// loads the newest claim, which is its own. The other one has written a partition map and
+// may send for Timing.EpochTTL more, but its claim is hidden.
+func TestHiddenGranterOfSameEraIsWaitedFor(t *testing.T) {
+	r := newTestRig(t, 6)
+	m := r.g.service("s").partitionMap
+	hidden := FirstEpoch(1) + 5
+	m.Epoch, m.Version, m.PriorSendMillis = hidden, m.Version+1, 0
+	r.g, r.grants, r.firstMoveGrantAt = NewGranter(testTiming), nil, time.Time{}
+	r.step(ServersListed{Service: "s", Servers: r.servers})
+	r.step(StoreRestored{Era: 1})
+	r.now = r.now.Add(10 * time.Second) // the store does not answer reads of this granter
+	r.step(EpochClaimed{Epoch: hidden + 5, Prior: FirstEpoch(1), PriorSendWindow: r.g.PriorSendWindow(r.now), Own: true, Loaded: true, ClaimSentAt: r.now})
+	r.step(PartitionMapRead{Map: m})
+	began := r.now
+	r.servers[0].Leaving = true
+	r.step(ServersListed{Service: "s", Servers: r.servers})
+	r.advance(restoreWait + 2*time.Second)
+	if r.firstMoveGrantAt.IsZero() {
+		t.Fatal("the leaving server's keys have not moved")
+	}
+	if waited := r.firstMoveGrantAt.Sub(began); waited < restoreWait-100*time.Millisecond {
+		t.Errorf("keys moved %v after the claim was read, but the granter of the hidden claim and its grants last %v", waited, restoreWait)
+	}
+}
--- a/core/ownership/history_test.go
+++ b/core/ownership/history_test.go
@@ -481,7 +481,9 @@
 			h.tracef("granter %d writes version %d", g.index, m.Version)
 		}
 		h.schedule(h.randomDuration(time.Millisecond, 60*time.Millisecond), func() {
-			g.runProcess(func() { g.step(PartitionMapWritten{Service: m.Service, Epoch: m.Epoch, Version: m.Version, Failed: !ok}) })
+			g.runProcess(func() {
+				g.step(PartitionMapWritten{Service: m.Service, Epoch: m.Epoch, Version: m.Version, Failed: !ok})
+			})
 		})
 	})
 	h.schedule(200*time.Millisecond, func() {
--- a/router/granting/loop.go
+++ b/router/granting/loop.go
@@ -82,6 +82,7 @@
 		calls           sync.WaitGroup
 
 		claimedEpoch atomic.Uint64 // claimed last by this process
+		ownEpochs    sync.Map      // all epochs claimed by this process, as keys
 		heldEpoch    atomic.Uint64 // held by the granter; 0 if none
 		storeEra     atomic.Uint64 // set by SetStoreEra
 		claimedEra   atomic.Uint64 // newest era of the store in which a claim is known
@@ -141,11 +142,13 @@
 }
 
 // ResignFormerProcess records in the store that the granter of epoch, which this instance
-// claimed, has stopped. It does nothing if epoch is the one that this process claimed
-// last, or that this process holds. Any other epoch was claimed by a former process of
-// the instance, which no longer runs, or earlier by this process.
+// claimed, has stopped. Unless this process claimed epoch, a former process of the
+// instance did, which no longer runs. ResignFormerProcess does nothing if epoch is the one
+// that this process claimed last, or if this process claimed it and holds any epoch: its
+// grants may go back to earlier epochs.
 func (l *Loop) ResignFormerProcess(ctx context.Context, epoch uint64) {
-	if l.IsClaimedEpoch(epoch) || epoch == l.heldEpoch.Load() {
+	_, own := l.ownEpochs.Load(epoch)
+	if l.IsClaimedEpoch(epoch) || own && l.heldEpoch.Load() != 0 {
 		return
 	}
 	l.calls.Go(func() { l.writeResignation(ctx, ownership.Resigned{Epoch: epoch}) })
@@ -259,6 +262,7 @@
 	if !l.granter.EpochOutdated() || ownership.EraOf(epoch) != l.granter.Era() {
 		epoch = (l.highestEpoch>>epochRandomBits+1)<<epochRandomBits | rand.Uint64N(1<<epochRandomBits)
 		l.claimedEpoch.Store(epoch)
+		l.ownEpochs.Store(epoch, struct{}{})
 		l.claimSentAt = l.clock.Now()
 	}
 	prior, window := l.highestEpoch, l.granter.PriorSendWindow(l.clock.Now())
--- a/router/granting/loop_test.go
+++ b/router/granting/loop_test.go
@@ -28,9 +28,10 @@
 	// scriptedStore returns the given errors from successive writes, and advances the
 	// clock by a second at each.
 	scriptedStore struct {
-		clock  *manualClock
-		errors []error
-		claims chan uint64 // epochs claimed
+		clock        *manualClock
+		errors       []error
+		claims       chan uint64 // epochs claimed
+		resignations chan uint64 // epochs resigned
 	}
 
 	// countingClient counts the grants sent.
@@ -57,7 +58,10 @@
 	return nil
 }
 
-func (s *scriptedStore) Resign(context.Context, ownership.Resigned) error { return nil }
+func (s *scriptedStore) Resign(_ context.Context, r ownership.Resigned) error {
+	s.resignations <- r.Epoch
+	return nil
+}
 
 func (s *scriptedStore) Write(context.Context, uint64, uint64, ownership.PartitionMap) error {
 	s.clock.advance(time.Second)
@@ -80,7 +84,7 @@
 	clock := &manualClock{now: time.Unix(1000, 0)}
 	client := &countingClient{}
 	log := oplog.New(io.Discard, "test")
-	l := NewLoop(testTiming, &scriptedStore{clock: clock, errors: writes, claims: make(chan uint64, 8)}, client, func(ownership.Granted) {}, clock, log)
+	l := NewLoop(testTiming, &scriptedStore{clock: clock, errors: writes, claims: make(chan uint64, 8), resignations: make(chan uint64, 8)}, client, func(ownership.Granted) {}, clock, log)
 	return l, clock, client
 }
 
@@ -174,3 +178,41 @@
 		t.Errorf("epoch held: %d, want none", got)
 	}
 }
+
+// TestContinuedEpochIsNotResigned guards against two owners after two restores in quick
+// succession. A granter has gone on under an epoch of the first new era. The second copy is
+// from before that claim and contains the granter's claim of the earlier era. It must not
+// report that the granter of that epoch has stopped: its grants are still renewed, and a
+// granter whose claim is lost would no longer wait for them.
+func TestContinuedEpochIsNotResigned(t *testing.T) {
+	l, clock, _ := newTestLoop(t)
+	store := l.store.(*scriptedStore)
+	l.SetAssigned(true)
+	l.tick(t.Context())
+	first := <-store.claims
+	l.handle(t.Context(), ownership.EpochClaimed{Epoch: first})
+	clock.advance(time.Second)
+	l.SetStoreEra(1)
+	l.tick(t.Context())
+	second := <-store.claims
+	l.handle(t.Context(), ownership.EpochClaimed{Epoch: second})
+	if got := l.HeldEpoch(); got != second {
+		t.Fatalf("epoch held after the first restore: %d, want %d", got, second)
+	}
+	clock.advance(time.Second)
+	l.SetStoreEra(2)
+	l.tick(t.Context())
+	<-store.claims
+	// The copy is loaded: its newest claim is the first one.
+	l.handle(t.Context(), ownership.EpochClaimed{Epoch: first, Loaded: true})
+	l.ResignFormerProcess(t.Context(), first)
+	l.calls.Wait()
+	if l.HeldEpoch() != second {
+		t.Fatalf("epoch held after the second restore: %d, want %d", l.HeldEpoch(), second)
+	}
+	select {
+	case epoch := <-store.resignations:
+		t.Errorf("epoch %d was resigned, but the granter goes on with its grants", epoch)
+	default:
+	}
+}
