ownership: a granter that still waits does not go on after a second restore

Cause: a granter that claims after a restore without a complete partition map waits until all earlier grants have expired. If the store came back a second time meanwhile, it had been confirmed shortly before, held an epoch of an earlier era, and so renewed and went on by the map that it was waiting for.

Change: a granter goes on with a service only if its map was not stale when the store came back.

--- a/core/ownership/era.go
+++ b/core/ownership/era.go
@@ -45,6 +45,11 @@
 	if era <= g.era {
 		return
 	}
+	for _, s := range g.services {
+		if !g.EpochOutdated() {
+			s.mayContinue = g.epoch > 0 && !g.stale(s) && len(s.partitionMap.Gaps()) == 0
+		}
+	}
 	g.era = era
 	first := FirstEpoch(era)
 	g.observeJointBound(first, now.Add(g.timing.EpochTTL))
@@ -90,5 +95,5 @@
 
 // mayRenew reports whether grants in force may be renewed.
 func (g *Granter) mayRenew(s *service, now time.Time) bool {
-	return g.EpochOutdated() || g.mayAssign(s, now)
+	return g.EpochOutdated() && s.mayContinue || g.mayAssign(s, now)
 }
--- a/core/ownership/era_test.go
+++ b/core/ownership/era_test.go
@@ -210,3 +210,26 @@
 		t.Errorf("keys moved %v after the claim was read, but the granter of the hidden claim and its grants last %v", waited, restoreWait)
 	}
 }
+
+// TestWaitingGranterDoesNotGoOn guards against two owners after two restores in quick
+// succession. A granter that claimed in the first new era still waits, since it has only the
+// older partition map. When the store comes back again, it has been confirmed shortly before,
+// but it knows no more of the grants in force, so it must not go on by that map.
+func TestWaitingGranterDoesNotGoOn(t *testing.T) {
+	old := newTestRig(t, 6).g.service("s").partitionMap
+	r := newTestRig(t, 6)
+	r.g, r.grants = NewGranter(testTiming), nil
+	r.step(PartitionMapRead{Map: old})
+	r.step(ServersListed{Service: "s", Servers: r.servers})
+	began := r.now
+	r.restoreStore(1)
+	r.advance(2 * time.Second)
+	r.restoreStore(2)
+	r.advance(restoreWait + time.Second)
+	if len(r.grants) == 0 {
+		t.Fatal("nothing was granted")
+	}
+	if waited := r.grants[0].Deadline.Add(-testTiming.SendTimeout).Sub(began); waited < restoreWait {
+		t.Errorf("the first grant was decided %v after the store first came back, want %v or later", waited, restoreWait)
+	}
+}
--- a/core/ownership/granter.go
+++ b/core/ownership/granter.go
@@ -62,8 +62,10 @@
 		// Fences up to inheritedFence may have been granted by prior granters; this granter
 		// grants none of them.
 		inheritedFence uint64
-		// continued is set if this granter was granting by partitionMap when the store came
-		// back from an older copy.
+		// mayContinue is set if this granter granted all keys by partitionMap, which was not
+		// stale, when the store came back from an older copy; continued, if it has then gone
+		// on by that map under an epoch of the new era.
+		mayContinue   bool
 		continued     bool
 		writeInFlight bool
 		pendingMap    PartitionMap // the map being written, while writeInFlight
@@ -294,7 +296,7 @@
 	own := m.Epoch == g.epoch || s.continued && m.Epoch == s.partitionMap.Epoch
 	s.partitionMap = m
 	if !own {
-		s.inheritedFence, s.continued = m.Fence, false
+		s.inheritedFence, s.mayContinue, s.continued = m.Fence, false, false
 	}
 }
 
--- a/core/ownership/prior_granters.go
+++ b/core/ownership/prior_granters.go
@@ -60,12 +60,12 @@
 // counts as confirmed only as of claimSentAt: no epoch was above it when the store
 // accepted the claim, but a higher one may have been claimed before this claim was
 // read back. With continues, this granter still held an epoch of an earlier era of the
-// store: it goes on with the services whose keys it has all assigned.
+// store: it goes on with the services that mayContinue.
 func (g *Granter) startEpoch(epoch uint64, claimSentAt time.Time, continues bool) {
 	g.epoch, g.confirmedAt = epoch, claimSentAt
 	for _, s := range g.services {
 		s.writeInFlight = false
-		s.continued = continues && len(s.partitionMap.Gaps()) == 0
+		s.continued = continues && s.mayContinue
 		if s.continued {
 			continue
 		}
