--- a/core/ownership/prior_granters.go
+++ b/core/ownership/prior_granters.go
@@ -20,12 +20,12 @@
 	if g.EpochOutdated() && e.Epoch > g.epoch && !e.Own {
 		g.epoch = 0
 	}
+	if e.Loaded && e.Epoch >= FirstEpoch(g.era) {
+		g.observeHiddenClaims(now)
+	}
 	if e.Epoch <= g.highestEpoch {
 		return
 	}
-	if e.Loaded {
-		g.observeHiddenClaims(now)
-	}
 	continues := g.EpochOutdated() && g.MaySend(now)
 	g.highestEpoch = e.Epoch
 	g.epoch = 0
