ownership: a fence that its server refused at first is not granted again

Cause: a granter that another one has replaced without its knowledge sends its first grant under a fence, and the server refuses it, since it has seen a higher one. The granter repeated it each 250 ms. A later incarnation at that address, which has seen no fence, accepted it.

Change: such a fence is not granted again; the plan replaces it.

Evidence: histories 344 and 1024 broke "fences grow" before and pass now. Open: seed 969, a first grant that is still in flight when the server starts again.

--- a/core/ownership/fence_use.go
+++ b/core/ownership/fence_use.go
@@ -72,9 +72,12 @@
 // inherited reports whether a prior granter may have granted keys under fence.
 func (s *service) inherited(fence uint64) bool { return fence <= s.inheritedFence }
 
-// mayGrant reports whether a grant to srv under fence may be decided on.
+// mayGrant reports whether a grant to srv under fence may be decided on. A fence that the
+// server refused at first is not tried again: a later incarnation would accept it.
 func (g *Granter) mayGrant(s *service, srv *server, fence uint64) bool {
-	return !s.inherited(fence) && !g.unused(srv, fence) && !srv.use(fence).firstInFlight
+	u := srv.use(fence)
+	refusedAtFirst := u.lost && u.connectedBy.IsZero()
+	return !s.inherited(fence) && !g.unused(srv, fence) && !refusedAtFirst && !u.firstInFlight
 }
 
 // unused reports whether fence is of an earlier era and srv has not accepted it. A granter
--- a/core/ownership/history_restores_test.go
+++ b/core/ownership/history_restores_test.go
@@ -334,6 +334,7 @@
 func TestHistorySeedsThatFailed(t *testing.T) {
 	for _, seed := range []uint64{
 		247, 529, 619, // a granter that went on adopted a write of its own that was carried out late, and granted its fences, which a lost granter had used
+		344, 1024, // a fence that a server had refused at first was granted again, to its next incarnation
 	} {
 		if violation := newHistoryWithRestores(t, seed, noMutant).run(); violation != "" {
 			t.Error(violation)
