router/dispatch: the last attempt keeps the refusal that took the time

TestOutcomesPage failed now and then: "connection refused" ended with 2008 instead of 2010, "marked refusal, trusted" with 2008 or 3002 instead of 2009.

Cause, from traces of the attempts: the dispatcher sends a request that did not run again after 5, 10, 20, ... 200 ms. On a busy machine the delays add up until the tenth attempt, planned at 915 ms of 1 s, meets the deadline. Seen: sent at 941.4 ms, ended with the deadline; woken from a wait of 200 ms after 268 ms and sent 15 ms past the deadline; a refused request sent again 1.6 ms before its deadline, after refusals that had taken 1.4 to 28 ms, and cut off. The dispatcher returned the last attempt's error, so the caller learned of the deadline and not of the refusal, and a request that provably did not run became one that may have run. The entry keeps earlier failures (past.conclude), but it does not see the attempts within a dispatcher.

Change: an attempt that ends for want of time returns the error of the attempt before it. startBy is checked again after the wait. After a marked refusal the request is sent again only if there is time for another refusal that takes as long as the slowest so far. Unsent attempts (2010) are repeated as before, since they cannot make a request unknown by being refused again.

TestLastAttemptKeepsResultOfEarlierAttempts fails without the change in all five cases.

Still open: through two instances the entry may get no verdict within 150 ms after the deadline and says 3002 "no answer in time", also when the dispatcher had reported refusals before.

--- a/router/dispatch/dispatcher.go
+++ b/router/dispatch/dispatcher.go
@@ -152,15 +152,18 @@
 // enqueueAndSend queues r and sends it once a slot is free. After an attempt that
 // provably did not run, r is queued again if the wait before the next attempt ends
 // before startBy and before ctx is done, the body can be sent again, the backend
-// server still owns the key, and d is not closed.
+// server still owns the key, and d is not closed. If the time runs out before the
+// next attempt is sent, the error is that of the previous attempt, which says why
+// the time ran out.
 func (d *Dispatcher) enqueueAndSend(ctx context.Context, r *Request) (*Response, error) {
 	j, err := d.enqueue(r)
 	if err != nil {
 		return nil, err
 	}
+	var previous error // of the attempt before the current one; nil at the first
 	for {
 		if err := d.waitForStart(ctx, j); err != nil {
-			return nil, err
+			return nil, errorBeforeTimeRanOut(previous, err)
 		}
 		response, err := d.send(ctx, j)
 		if err == nil {
@@ -168,15 +171,26 @@
 		}
 		wait, retry := d.recordFailedAttempt(ctx, j, err)
 		if !retry || !d.waitBeforeRetry(ctx, wait) {
-			return nil, err
+			return nil, errorBeforeTimeRanOut(previous, err)
 		}
+		previous = err
 		d.set.metrics.retried.Add(1)
 		if err := d.requeue(j); err != nil {
-			return nil, err
+			return nil, errorBeforeTimeRanOut(previous, err)
 		}
 	}
 }
 
+// errorBeforeTimeRanOut returns previous, the error of an earlier attempt, if
+// there is one and err says only that no time was left; otherwise it returns err.
+func errorBeforeTimeRanOut(previous, err error) error {
+	var e *code.Error
+	if previous != nil && errors.As(err, &e) && (e.Code == code.DeadlineBeforeStart || e.Code == code.TargetUnreachable) {
+		return previous
+	}
+	return err
+}
+
 // waitForStart waits until j starts, or returns the reason why it cannot
 // start.
 func (d *Dispatcher) waitForStart(ctx context.Context, j *job) error {
@@ -252,7 +266,8 @@
 }
 
 // requeue queues j again at its previous position after an attempt that did
-// not run.
+// not run. It refuses j if startBy has passed, since the wait before the next
+// attempt may have ended late.
 func (d *Dispatcher) requeue(j *job) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -260,6 +275,9 @@
 		return code.NewError(code.StaleRoute, "the backend server no longer owns the key, or this instance no longer dispatches to it")
 	}
 	now := d.set.clock.Now()
+	if !now.Before(j.startBy) {
+		return code.NewError(code.TargetUnreachable, "the wait before the next attempt ended too late for the request to finish before its deadline")
+	}
 	d.queue.insert(j, now)
 	d.startOrWait(j, now)
 	return nil
@@ -316,7 +334,10 @@
 
 // recordFailedAttempt reports an attempt that did not run to the limiter. It
 // returns the wait before the next attempt, and whether there may be one: a
-// request whose attempt failed in any other way must not be sent again.
+// request whose attempt failed in any other way must not be sent again. After a
+// refusal there must be time for another one as slow. Otherwise the deadline would
+// cut the next attempt off, and a request that did not run would become one that
+// may have run.
 func (d *Dispatcher) recordFailedAttempt(ctx context.Context, j *job, err error) (time.Duration, bool) {
 	var e *code.Error
 	if !errors.As(err, &e) || ctx.Err() != nil {
@@ -329,6 +350,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.set.clock.Now()
+	if !unsent {
+		j.limitStartBy(now.Sub(j.started))
+	}
 	wait := d.limiter.recordNotExecuted(j.kind.serviceTime.mean, now)
 	return wait, now.Add(wait).Before(j.startBy) && rewindBody(j.request)
 }
--- a/router/dispatch/dispatcher_test.go
+++ b/router/dispatch/dispatcher_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"runtime"
 	"slices"
 	"strings"
@@ -16,6 +17,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"bronzewind.example/core/backend"
+	"bronzewind.example/core/clock"
 	"bronzewind.example/core/code"
 	"bronzewind.example/core/config"
 	"bronzewind.example/core/control"
@@ -249,6 +251,115 @@
 	}
 }
 
+// lateClock is the system's clock with timers that fire late, as on a machine
+// that is short of processor time.
+type lateClock struct {
+	clock.System
+	delay time.Duration
+}
+
+// NewTimer implements clock.Clock.
+func (c lateClock) NewTimer(d time.Duration) *time.Timer { return c.System.NewTimer(d + c.delay) }
+
+// A request that was refused again and again until its time ran out must end with
+// that refusal. The last attempt often starts so shortly before the deadline that it
+// ends with the deadline instead, which hides from the caller and the operator why
+// the request was not served, or turns a request that provably did not run into one
+// that may have run.
+func TestLastAttemptKeepsResultOfEarlierAttempts(t *testing.T) {
+	connectionRefused := func() (*http.Response, error) { return nil, errors.New("connection refused") }
+	refuse := func(r *http.Request) (*http.Response, error) {
+		return newEmptyResponse(r, http.StatusServiceUnavailable, http.Header{backend.RefusedHeader: {"shedding"}}), nil
+	}
+	// The attempt counts as written when GotConn is called.
+	write := func(r *http.Request) { httptrace.ContextClientTrace(r.Context()).GotConn(httptrace.GotConnInfo{}) }
+	slowly := func(r *http.Request, d time.Duration) error {
+		select {
+		case <-r.Context().Done():
+			return r.Context().Err()
+		case <-time.After(d):
+			return nil
+		}
+	}
+	tests := []struct {
+		name    string
+		delay   time.Duration // of all timers of the dispatcher
+		respond func(td *testDispatcher, r *http.Request, attempt int) (*http.Response, error)
+		want    code.Code
+	}{
+		{
+			name: "connections refused, the last one not answered",
+			respond: func(_ *testDispatcher, r *http.Request, attempt int) (*http.Response, error) {
+				if attempt < 10 {
+					return connectionRefused()
+				}
+				return nil, slowly(r, time.Hour)
+			},
+			want: code.BackendUnreachable,
+		},
+		{
+			name: "connection refused, then no start until it is too late",
+			respond: func(td *testDispatcher, _ *http.Request, _ int) (*http.Response, error) {
+				time.AfterFunc(ms, func() {
+					td.grant(time.Minute, record.SlotRange{Last: keyspace.Slot(td.service.Slots - 1), Server: "a"})
+				})
+				return connectionRefused()
+			},
+			want: code.BackendUnreachable,
+		},
+		{
+			name:    "connections refused, the wait before the last attempt ends after the deadline",
+			delay:   130 * ms,
+			respond: func(*testDispatcher, *http.Request, int) (*http.Response, error) { return connectionRefused() },
+			want:    code.BackendUnreachable,
+		},
+		{
+			name: "refused, no time left for another refusal",
+			respond: func(_ *testDispatcher, r *http.Request, _ int) (*http.Response, error) {
+				write(r)
+				if err := slowly(r, 300*ms); err != nil {
+					return nil, err
+				}
+				return refuse(r)
+			},
+			want: code.RefusedByBackend,
+		},
+		{
+			name:  "refused, the wait before the last attempt ends too late for another refusal",
+			delay: 60 * ms,
+			respond: func(_ *testDispatcher, r *http.Request, _ int) (*http.Response, error) {
+				write(r)
+				if err := slowly(r, 100*ms); err != nil {
+					return nil, err
+				}
+				return refuse(r)
+			},
+			want: code.RefusedByBackend,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := shortPatienceWorkload().service
+				s.TrustsRefusals = true
+				td := newTestDispatcher(s)
+				td.dispatchers.clock = lateClock{delay: tt.delay}
+				startedAt, attempts := time.Now(), 0
+				td.respond = func(r *http.Request, _ int) (*http.Response, error) {
+					attempts++
+					if late := time.Since(startedAt); late >= s.Kinds[0].Patience.Std() {
+						t.Errorf("attempt %d was sent after %v, which is past the deadline", attempts, late)
+					}
+					return tt.respond(td, r, attempts)
+				}
+				td.publishOwner("a")
+				td.grant(time.Minute)
+				wantCode(t, "result", td.do(0, "/x", "k"), tt.want)
+			})
+		})
+	}
+}
+
 // A server that refuses requests because of overload must get fewer requests at
 // once, and all its slots must open again once it answers.
 func TestOverloadLowersAndRecoveryRaisesOpenSlots(t *testing.T) {
--- a/router/dispatch/queue.go
+++ b/router/dispatch/queue.go
@@ -56,7 +56,7 @@
 		sequence    uint64        // order of arrival; unique within a dispatcher
 		queuedAt    time.Time     // when first queued; requeue keeps it
 		lateFrom    time.Time     // a start at or after this time is expected to miss the target (upper estimate of the service time); at most startBy
-		startBy     time.Time     // a start at or after this time is expected to miss the deadline (mean service time, at most half the patience)
+		startBy     time.Time     // a start at or after this time is expected to miss the deadline (mean service time, at most half the patience); lowered by limitStartBy
 		started     time.Time     // start of the last attempt; zero before the first
 		chargedTime time.Duration // slot time charged at the start to the share deficit of the kind; its mean service time
 
@@ -123,6 +123,18 @@
 	return j
 }
 
+// limitStartBy lowers startBy so that an attempt of the given duration ends
+// before the deadline. j must not be queued, because the heaps are ordered by
+// startBy and lateFrom.
+func (j *job) limitStartBy(attempt time.Duration) {
+	if last := j.request.Deadline.Add(-attempt); last.Before(j.startBy) {
+		j.startBy = last
+	}
+	if j.lateFrom.After(j.startBy) {
+		j.lateFrom = j.startBy
+	}
+}
+
 // push queues j if it is admitted. It returns the job that was displaced by j,
 // which is no longer queued.
 func (q *queue) push(j *job, now time.Time) (*job, *code.Error) {
