--- a/core/ownership/era.go
+++ b/core/ownership/era.go
@@ -3,15 +3,15 @@
 import "time"
 
 // The store may come back from an older copy. Each time, its era rises by one, and
-// claims, resignations and partition maps that were written since the copy are lost. So
-// granters may exist of whose claims nothing is known, and keys may be held by servers
-// that no known partition map names.
+// claims, resignations and partition maps that were written since the copy are lost. Some
+// granters may then run under epochs whose claims are lost, and servers may hold keys
+// according to partition maps that are lost.
 //
 // An epoch belongs to the era in which it was claimed, and the store confirms it only in
 // that era. So all granters of earlier eras have stopped Timing.EpochTTL after a later
-// era was first seen, at the latest. A partition map of an earlier era is stale: what it
-// says is not relied on before all grants of those granters have expired. Epochs and
-// fences of a later era are above all those of earlier eras, also above the lost ones.
+// era was first seen, at the latest. A partition map of an earlier era is stale: no key is
+// granted by it before all grants of those granters have expired. Epochs and fences of a
+// later era are above all those of earlier eras, including the lost ones.
 
 const (
 	// eraEpochBits and eraFenceBits are the bits of an epoch and of a fence below those
@@ -35,12 +35,12 @@
 
 // observeEra records that the store has come back from an older copy.
 //
-// A granter whose epoch the store confirmed within maxGrantLifetime before goes on (see
-// EpochOutdated): it knows of all moves. If another granter has claimed the role since that
-// confirmation, and its claim is lost, that one can't have moved any keys yet, since it
-// waits first until this one has stopped and its grants have expired. When that time is
-// over, EpochTTL after the store came back, it has stopped itself. Any other granter
-// gives its epoch up.
+// A granter whose epoch the store confirmed within maxGrantLifetime before continues (see
+// EpochOutdated), because its partition map contains all moves. Another granter may have
+// claimed the role since that confirmation, and its claim may be lost. But that granter has
+// moved no keys: it waits first until this one has stopped and its grants have expired, and
+// by then it has stopped too, EpochTTL after the store came back. A granter that was not
+// confirmed as recently drops its epoch.
 func (g *Granter) observeEra(era uint64, now time.Time) {
 	if era <= g.era {
 		return
--- a/core/ownership/granter.go
+++ b/core/ownership/granter.go
@@ -44,7 +44,7 @@
 	// below the highest one.
 	priorGranterBound struct {
 		stopsBy  time.Time // sends nothing from then on
-		resigned bool
+		resigned bool      // stopsBy is the time of its resignation
 		// lastUnanswered is an upper bound on when it sent its last unanswered grant. It is
 		// equal to stopsBy, since Resigned.SinceLastUnanswered is not used to shorten a wait.
 		lastUnanswered time.Time
@@ -63,8 +63,8 @@
 		// grants none of them.
 		inheritedFence uint64
 		// mayContinue is set if this granter granted all keys by partitionMap, which was not
-		// stale, when the store came back from an older copy; continued, if it has then gone
-		// on by that map under an epoch of the new era.
+		// stale, when the store came back from an older copy. continued is set once it holds
+		// an epoch of the new era and still grants by that map.
 		mayContinue   bool
 		continued     bool
 		writeInFlight bool
@@ -294,7 +294,9 @@
 		return
 	}
 	if (g.EpochOutdated() || s.continued) && EraOf(m.Epoch) < g.era {
-		return // a write of an earlier era that was carried out late; a granter whose claim is lost may have used its fences
+		// A write that was carried out after the store came back. A granter whose claim is
+		// lost may have granted the fences that this map assigns.
+		return
 	}
 	s.partitionMap = m
 	if m.Epoch != g.epoch {
--- a/core/ownership/prior_granters.go
+++ b/core/ownership/prior_granters.go
@@ -60,7 +60,7 @@
 // counts as confirmed only as of claimSentAt: no epoch was above it when the store
 // accepted the claim, but a higher one may have been claimed before this claim was
 // read back. With continues, this granter still held an epoch of an earlier era of the
-// store: it goes on with the services that mayContinue.
+// store: it continues with the services that have mayContinue set.
 func (g *Granter) startEpoch(epoch uint64, claimSentAt time.Time, continues bool) {
 	g.epoch, g.confirmedAt = epoch, claimSentAt
 	for _, s := range g.services {
@@ -78,17 +78,17 @@
 	}
 }
 
-// knownToHoldNothing reports whether no server holds anything that was granted to
-// incarnation inc, and no prior granter can rely on that any more. A granter that has
-// taken over from one that has not resigned waits until the grants of that one have
-// expired: if the store comes back from an older copy without its claim, the prior
-// granter goes on and must know of all moves.
+// knownToHoldNothing reports whether keys that were granted to incarnation inc may move at
+// once, because no server holds them. It returns false until all prior granters that have
+// not resigned have stopped and their grants have expired: if the store comes back from an
+// older copy without this granter's claim, such a prior granter continues by its own
+// partition map, which must contain all moves.
 func (g *Granter) knownToHoldNothing(s *service, inc Incarnation, now time.Time) bool {
 	return !now.Before(g.unresignedEnd().Add(g.maxGrantLifetime())) && s.holdsNothing(inc)
 }
 
-// unresignedEnd returns the time from which no prior granter sends anything that has not
-// resigned; zero if there is none.
+// unresignedEnd returns the time from which the prior granters that have not resigned send
+// nothing; zero if there are none.
 func (g *Granter) unresignedEnd() time.Time {
 	at := g.jointBound.stopsBy
 	for epoch, bound := range g.priorGranterBounds {
