ownership: keys of ended servers wait until prior granters have stopped only

Cause: since the change for restored stores, a granter that took over from one that had not resigned, or that knew prior granters by a joint bound, waited for their grants too before it gave the keys of an ended server to another one.

Change: it waits until they have stopped. That is enough since a fence is granted for the first time only within 2 s of a confirmation: a granter whose claim is lost moves nothing later than 2 s after the restore, and the prior one continues only if it was confirmed within 4 s before it saw the restore, while the wait is 6 s. TestLostGranterMayMoveNothing checks that these durations fit.

--- a/core/ownership/era.go
+++ b/core/ownership/era.go
@@ -39,8 +39,9 @@
 // EpochOutdated), because its partition map contains all moves. Another granter may have
 // claimed the role since that confirmation, and its claim may be lost. But that granter has
 // moved no keys: it waits first until this one has stopped and its grants have expired, and
-// by then it has stopped too, EpochTTL after the store came back. A granter that was not
-// confirmed as recently drops its epoch.
+// by then it has stopped too, EpochTTL after the store came back. For keys of servers that
+// have ended see knownToHoldNothing. A granter that was not confirmed as recently drops its
+// epoch.
 func (g *Granter) observeEra(era uint64, now time.Time) {
 	if era <= g.era {
 		return
--- a/core/ownership/prior_granters.go
+++ b/core/ownership/prior_granters.go
@@ -80,11 +80,13 @@
 
 // knownToHoldNothing reports whether keys that were granted to incarnation inc may move at
 // once, because no server holds them. It returns false until all prior granters that have
-// not resigned have stopped and their grants have expired: if the store comes back from an
-// older copy without this granter's claim, such a prior granter continues by its own
-// partition map, which must contain all moves.
+// not resigned have stopped: if the store comes back from an older copy without this
+// granter's claim, such a prior granter continues by its own partition map, which must
+// contain all moves. Later than that it can't continue, because this granter moves keys only
+// within maxFirstGrantAge of a confirmation, and maxFirstGrantAge and maxGrantLifetime
+// together are shorter than Timing.EpochTTL.
 func (g *Granter) knownToHoldNothing(s *service, inc Incarnation, now time.Time) bool {
-	return !now.Before(g.unresignedEnd().Add(g.maxGrantLifetime())) && s.holdsNothing(inc)
+	return !now.Before(g.unresignedEnd()) && s.holdsNothing(inc)
 }
 
 // unresignedEnd returns the time from which the prior granters that have not resigned send
