granting: a claim that never starts is resigned

Cause: an instance that claimed the role and was no longer assigned it when it read its claim back did not start, and did not say so. The next granter waited for it as for one that may still send.

Change: such a claim is resigned at once.

--- a/router/granting/loop.go
+++ b/router/granting/loop.go
@@ -215,6 +215,10 @@
 			l.highestEpoch = event.Epoch
 			l.claimedEra.Store(ownership.EraOf(event.Epoch))
 			l.log.Event("granting-role", "epoch", event.Epoch, "prior", event.Prior, "own", event.Own)
+			if !event.Own && l.IsClaimedEpoch(event.Epoch) {
+				// It never starts, so that no other granter has to wait for it.
+				l.calls.Go(func() { l.writeResignation(ctx, ownership.Resigned{Epoch: event.Epoch}) })
+			}
 		}
 	}
 	l.step(ctx, e)
--- a/router/granting/loop_test.go
+++ b/router/granting/loop_test.go
@@ -216,3 +216,24 @@
 	default:
 	}
 }
+
+// TestClaimThatNeverStartsIsResigned guards against granters that wait for one that never
+// sent anything: it was no longer assigned the role when it read its claim back.
+func TestClaimThatNeverStartsIsResigned(t *testing.T) {
+	l, _, _ := newTestLoop(t)
+	store := l.store.(*scriptedStore)
+	l.SetAssigned(true)
+	l.tick(t.Context())
+	claimed := <-store.claims
+	l.SetAssigned(false)
+	l.handle(t.Context(), ownership.EpochClaimed{Epoch: claimed})
+	l.calls.Wait()
+	select {
+	case got := <-store.resignations:
+		if diff := cmp.Diff(claimed, got); diff != "" {
+			t.Errorf("epoch resigned (-want +got):\n%s", diff)
+		}
+	default:
+		t.Error("the claim was not resigned")
+	}
+}
