--- a/core/ownership/history_restores_test.go
+++ b/core/ownership/history_restores_test.go
@@ -343,6 +343,16 @@
 	}
 }
 
+// TestFirstGrantReachesNextIncarnation plays a history in which a fence falls: a granter
+// that has been replaced less than maxFirstGrantAge after its last confirmation grants a
+// fence for the first time, after its successor has given the server a higher one and the
+// server has started again at its address.
+func TestFirstGrantReachesNextIncarnation(t *testing.T) {
+	if violation := newHistoryWithRestores(t, 3126, noMutant).run(); violation != "" {
+		t.Error(violation)
+	}
+}
+
 // TestHistoriesWithRestores checks the same as TestHistories if the store also comes back
 // from older copies of itself, so that claims and partition maps are lost.
 func TestHistoriesWithRestores(t *testing.T) {
