router/direct: an attempt does not read a connection that another one uses

An attempt returned its connection to the pool and then read the counters of its bytes, while the next attempt already reset them. Only the metric of bytes by distance could be wrong.

readResponse now says whether the connection can carry another request, and exchange returns it to the pool as its last step. TestReusedConnectionIsLeftAlone (race detector): failed before with two data races, passes after; the other tests of the package pass under the race detector.

--- a/router/direct/conn_test.go
+++ b/router/direct/conn_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"net/http"
+	"sync"
 	"testing"
 	"time"
 )
@@ -79,3 +82,21 @@
 		t.Errorf("get after a connection was closed: error %v, same connection %t, want a new connection", err, c == first)
 	}
 }
+
+// TestReusedConnectionIsLeftAlone guards against an attempt that still reads a connection
+// which another attempt uses already. The race detector finds it.
+func TestReusedConnectionIsLeftAlone(t *testing.T) {
+	server := newScriptedServer(t, func(c net.Conn, r *http.Request, _ int64) {
+		writeTestResponse(c, 200, r.Header.Get("T-Id"), "ok", "T-Signed: s")
+	})
+	s := newTestServer(t, Route{Attempts: 1}, false, server.listener.Addr().String())
+	var senders sync.WaitGroup
+	for caller := range 4 {
+		senders.Go(func() {
+			for n := range 50 {
+				sendRequest(t, s, http.MethodGet, fmt.Sprint(caller, "-", n), "")
+			}
+		})
+	}
+	senders.Wait()
+}
--- a/router/direct/exchange.go
+++ b/router/direct/exchange.go
@@ -151,10 +151,16 @@
 	} else {
 		go func() { write.result <- s.writeRequest(c, r, info.ID) }()
 	}
-	s.readResponse(ctx, &b.pool, c, r, &a, write)
+	reusable := s.readResponse(ctx, c, r, &a, write)
+	if !reusable {
+		b.pool.closeConn(c)
+	}
 	_ = write.wait() // returns soon: the writing is complete or the connection is closed
 	a.duration = time.Since(start) - dialTime
 	a.bytes = c.bytesWritten + c.bytesRead
+	if reusable {
+		b.pool.put(c, time.Now()) // from here on, c belongs to another attempt
+	}
 	return a
 }
 
@@ -186,21 +192,19 @@
 }
 
 // readResponse reads the response to r, skipping responses to other requests,
-// and returns the connection to the pool or closes it.
-func (s *Server) readResponse(ctx context.Context, p *pool, c *conn, r *request, a *attemptResult, write *requestWrite) {
+// and reports whether the connection can carry another request.
+func (s *Server) readResponse(ctx context.Context, c *conn, r *request, a *attemptResult, write *requestWrite) bool {
 	clean := true // no response to another request was read
 	for mismatched := 0; ; mismatched++ {
 		head, err := readResponseHead(c, r)
 		if err != nil {
 			s.classifyError(ctx, c, r, a, err, write)
-			p.closeConn(c)
-			return
+			return false
 		}
 		resp, err := s.readFullResponse(head, r)
 		if err != nil {
 			a.outcome, a.code, a.err = outcomeUnknown, code.AnswerCutOff, err
-			p.closeConn(c)
-			return
+			return false
 		}
 		// A response which states that the request was not run may lack a request ID. On a
 		// reused connection it may then be a second copy of an earlier response.
@@ -209,8 +213,7 @@
 			clean = false
 			if unnamed || mismatched == maxMismatchedResponses {
 				a.outcome, a.code, a.err = outcomeUnknown, code.AnswerCrossed, errWrongRequestID
-				p.closeConn(c)
-				return
+				return false
 			}
 			continue
 		}
@@ -219,19 +222,16 @@
 		// A connection is reused only after a complete exchange without unexpected
 		// responses or bytes. A second copy of a response without a request ID could not
 		// be told from the next response.
-		if clean && r.id != "" && written && !head.Close && a.outcome != outcomeUnknown && c.reader.Buffered() == 0 {
-			c.setIdleTimeout(resp.header.Get("Keep-Alive"))
-			p.put(c, time.Now())
-		} else {
-			p.closeConn(c)
+		if !clean || r.id == "" || !written || head.Close || a.outcome == outcomeUnknown || c.reader.Buffered() > 0 {
+			return false
 		}
-		return
+		c.setIdleTimeout(resp.header.Get("Keep-Alive"))
+		return true
 	}
 }
 
 // writtenSoon reports whether the whole request was written, waiting up to
-// writeEndTimeout. If not, readResponse must close the connection to end the
-// writing.
+// writeEndTimeout. If not, the connection must be closed to end the writing.
 func (w *requestWrite) writtenSoon() bool {
 	timer := time.NewTimer(writeEndTimeout)
 	defer timer.Stop()
--- a/router/direct/exchange_test.go
+++ b/router/direct/exchange_test.go
@@ -406,9 +406,8 @@
 		write.result <- nil
 		c.bytesWritten = 1
 		var got attemptResult
-		var p pool
 		r := &request{id: "r1", method: "GET", deadline: time.Now().Add(time.Second)}
-		s.readResponse(context.Background(), &p, c, r, &got, write)
+		s.readResponse(context.Background(), c, r, &got, write)
 		client.Close()
 		if got.outcome != outcomeDone || got.response.status >= 300 {
 			return
