router/direct, platform: stated rate limits are read, logged and published

Nothing in the logs or metrics showed whether an instance had seen a limit that a server states in its responses, so the hypotheses of the incident of exceeded limits could not be told apart.

A change is logged as server-limit, an unreadable value once a server as server-limit-unreadable, and servers-limited lists the limits in force. Nothing is decided by a limit yet.

--- a/router/direct/backend.go
+++ b/router/direct/backend.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"bronzewind.example/core/notice"
 	"bronzewind.example/core/ownership"
 )
 
@@ -29,10 +30,13 @@
 		info atomic.Pointer[ServerInfo]
 		pool pool
 
-		mu       sync.Mutex
-		load     serverLoad // guarded by mu
-		health   health     // guarded by mu
-		lastUsed time.Time  // start of the last attempt; not read at present; guarded by mu
+		mu        sync.Mutex
+		load      serverLoad       // guarded by mu
+		health    health           // guarded by mu
+		rateLimit notice.RateLimit // guarded by mu
+		lastUsed  time.Time        // start of the last attempt; not read at present; guarded by mu
+
+		limitUnreadable atomic.Bool // a response with an unreadable rate limit was logged
 	}
 )
 
--- a/router/direct/exchange.go
+++ b/router/direct/exchange.go
@@ -63,8 +63,11 @@
 		Signature      string // set by the server on every 2xx response
 		NotRun         string // marks a refusal before the request was started
 		Load           string // load report of the server, see ParseLoad
+		RateLimit      string // requests a second that the server takes from all instances together, see ParseRateLimit
 		// ParseLoad parses the value of the Load header.
 		ParseLoad func(string) LoadReport
+		// ParseRateLimit parses the value of the RateLimit header.
+		ParseRateLimit func(string) (float64, error)
 	}
 
 	// request is a caller's request while it is served.
@@ -106,6 +109,8 @@
 		connLimited          bool // not sent because the instance reached its connection limit
 		closedBeforeResponse bool // the server closed or reset the connection before a complete response head
 		report               LoadReport
+		rateLimit            rateLimitStatement
+		sentAt               time.Time     // before the request was written; zero if no connection was obtained
 		duration             time.Duration // from the request for a connection to the end of the attempt, without dialTime; 0 if no connection was obtained
 		dialTime             time.Duration // 0 if no connection was opened
 		reused               bool
@@ -138,6 +143,7 @@
 	}
 	a := attemptResult{dialTime: dialTime, reused: c.reused}
 	c.remember(r.id)
+	a.sentAt = time.Now()
 	_ = c.SetDeadline(r.deadline) // if it fails, the write fails too
 	// From here on, a disconnect of the caller aborts the attempt only if r is
 	// idempotent.
@@ -325,6 +331,7 @@
 // request.
 func (s *Server) classifyResponse(resp *response, a *attemptResult) {
 	a.response = resp
+	defer func() { a.rateLimit = s.readRateLimit(resp, a.outcome) }()
 	if v := resp.header.Get(s.protocol.Load); v != "" {
 		a.report = s.protocol.ParseLoad(v)
 	}
--- a/router/direct/exchange_test.go
+++ b/router/direct/exchange_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,7 +26,8 @@
 // header name fixed in the code makes a test fail.
 var testProtocol = Protocol{
 	RequestID: "T-Id", Deadline: "T-Deadline", Key: "T-Key", ExpectedServer: "T-Expect", Signature: "T-Signed",
-	NotRun: "T-Not-Run", Load: "T-Load", ParseLoad: func(string) LoadReport { return LoadReport{} },
+	NotRun: "T-Not-Run", Load: "T-Load", RateLimit: "T-Limit", ParseLoad: func(string) LoadReport { return LoadReport{} },
+	ParseRateLimit: func(v string) (float64, error) { return strconv.ParseFloat(v, 64) },
 }
 
 // testTimeout is longer than any request takes on a busy machine.
--- a/router/direct/server.go
+++ b/router/direct/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"time"
 
 	"bronzewind.example/core/code"
+	"bronzewind.example/core/notice"
 	"bronzewind.example/core/oplog"
 	"bronzewind.example/core/ownership"
 )
@@ -45,7 +47,7 @@
 		routingTable     atomic.Pointer[RoutingTable]
 		servers          atomic.Pointer[serverSnapshot]
 		ownership        atomic.Pointer[map[string]*ownershipSnapshot] // by service
-		instances        atomic.Int64
+		fleet            atomic.Pointer[notice.Fleet]
 		closeCallerConns atomic.Bool // responses ask callers to close their connections
 		crashChecks      sync.WaitGroup
 		responseMemory   memoryBudget
@@ -113,7 +115,8 @@
 	}
 	s.servers.Store(&serverSnapshot{services: map[string][]*backend{}, incarnations: map[ownership.Incarnation]*knownServer{}})
 	s.ownership.Store(&map[string]*ownershipSnapshot{})
-	s.instances.Store(1)
+	s.fleet.Store(&notice.Fleet{Count: 1})
+	s.metrics.all.Set("servers-limited", expvar.Func(s.limitedServers))
 	s.responseMemory.limit = defaultResponseMemory
 	for _, o := range options {
 		o(s)
@@ -351,6 +354,7 @@
 		sample.status = a.response.status
 	}
 	slowness := b.attemptFinished(sample, a.dialTime, now)
+	s.observeRateLimit(b, a, now)
 	// If requests wait at the server, the duration may include such a wait.
 	if a.outcome == outcomeDone && sample.status < 500 && a.report.Valid && a.report.Waiting == 0 {
 		s.typicalDurations.observe(state.route, state.service, time.Duration(float64(a.duration)/slowness))
--- a/router/direct/snapshots.go
+++ b/router/direct/snapshots.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"bronzewind.example/core/notice"
 	"bronzewind.example/core/ownership"
 )
 
@@ -149,11 +150,12 @@
 	s.notifyChange()
 }
 
-// SetInstanceCount sets the number of instances that share the retry budget and the
-// servers' connection limits.
-func (s *Server) SetInstanceCount(n int) {
-	s.instances.Store(int64(max(1, n)))
-	s.retryBudget.setInstances(n)
+// SetFleet sets the position of this instance among those that share the retry budget and
+// the servers' connection and rate limits.
+func (s *Server) SetFleet(f notice.Fleet) {
+	f.Count = max(1, f.Count)
+	s.fleet.Store(&f)
+	s.retryBudget.setInstances(f.Count)
 }
 
 // SetRetryBudgetLimits replaces the limits on retries.
@@ -185,7 +187,7 @@
 	if limit <= 0 {
 		return defaultConnectionLimit
 	}
-	return connectionsPerInstance(limit, int(s.instances.Load()))
+	return connectionsPerInstance(limit, s.fleet.Load().Count)
 }
 
 // connectionsPerInstance divides a server's connection limit among instances.
