router/direct: a limited server gets a multiple of its limit (failing test)

Three instances send to one server that states a limit of 10 requests a second. Counted as callers of the server would: from half a second after the first response, in 4 s, 1.5 times the limit and 5 requests more are allowed. Seen on this code: over 2,200 requests in 4 s, with and without keys, 65 allowed.

--- /dev/null
+++ b/router/direct/rate_limit_test.go
@@ -0,0 +1,120 @@
+package direct
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bronzewind.example/core/notice"
+	"bronzewind.example/core/ownership"
+)
+
+// limitedServer is a backend server that names a rate limit in each response and records
+// when requests arrive.
+type limitedServer struct {
+	*scriptedServer
+	mu       sync.Mutex
+	arrivals []time.Time // guarded by mu
+}
+
+func newLimitedServer(t *testing.T, limit string) *limitedServer {
+	s := &limitedServer{}
+	s.scriptedServer = newScriptedServer(t, func(c net.Conn, r *http.Request, _ int64) {
+		s.mu.Lock()
+		s.arrivals = append(s.arrivals, time.Now())
+		s.mu.Unlock()
+		writeTestResponse(c, 200, r.Header.Get("T-Id"), "ok", "T-Signed: s", "T-Limit: "+limit)
+	})
+	return s
+}
+
+// between returns the number of requests that arrived between two times.
+func (s *limitedServer) between(from, to time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, at := range s.arrivals {
+		if !at.Before(from) && at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// sendUntil sends one request after the other from a caller until ctx ends.
+func sendUntil(ctx context.Context, s *Server, caller, key string) {
+	for n := 0; ctx.Err() == nil; n++ {
+		r := httptest.NewRequest(http.MethodGet, "http://h/x", nil)
+		r.Header.Set("T-Id", fmt.Sprint(caller, "-", n))
+		r.Header.Set("T-Deadline", "20000")
+		r.Header.Set("T-Key", key)
+		s.ServeHTTP(httptest.NewRecorder(), r)
+		select {
+		case <-ctx.Done():
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// TestLimitedServerGetsNoMoreThanItNamed guards against servers that get a multiple of the
+// limit named in their responses, because instances do not read it or keep to it alone.
+func TestLimitedServerGetsNoMoreThanItNamed(t *testing.T) {
+	const (
+		limit     = 10.0
+		instances = 3
+		callers   = 4
+		settle    = 500 * time.Millisecond // after which an instance that has seen the limit must keep to it
+		window    = 4 * time.Second
+		allowed   = int(1.5*limit*4) + 5
+	)
+	for _, exclusive := range []bool{false, true} {
+		t.Run(fmt.Sprintf("exclusive=%v", exclusive), func(t *testing.T) {
+			t.Parallel()
+			server := newLimitedServer(t, fmt.Sprint(limit))
+			ctx, stop := context.WithTimeout(t.Context(), settle+window)
+			defer stop()
+			start := time.Now()
+			var senders sync.WaitGroup
+			for rank := range instances {
+				s := newTestServer(t, Route{Attempts: 1, Idempotent: true}, exclusive, server.listener.Addr().String())
+				s.SetFleet(notice.Fleet{Rank: rank, Count: instances})
+				s.SetPartitionMap(ownership.PartitionMap{Service: "s", Version: 1, Epoch: 1, Fence: 1, Partitions: []ownership.Partition{
+					{Range: ownership.Range{To: ownership.KeyCount - 1}, Owner: ownership.Incarnation{ID: "i0", StartedMillis: 1}, Fence: 1},
+				}}, start)
+				for caller := range callers {
+					senders.Go(func() { sendUntil(ctx, s, fmt.Sprint(rank, "-", caller), "7") })
+				}
+			}
+			senders.Wait()
+			if got := server.between(start.Add(settle), start.Add(settle+window)); got > allowed || got < int(limit*window.Seconds()/2) {
+				t.Errorf("%d requests in %v at a limit of %v a second, want at most %d and at least half of what the limit allows", got, window, limit, allowed)
+			}
+		})
+	}
+}
+
+// TestUnreadableLimitIsIgnored checks that a limit that is no number neither becomes a
+// limit nor ends one.
+func TestUnreadableLimitIsIgnored(t *testing.T) {
+	limits := []string{"x", "4.5", "many"}
+	server := newScriptedServer(t, func(c net.Conn, r *http.Request, n int64) {
+		writeTestResponse(c, 200, r.Header.Get("T-Id"), "ok", "T-Signed: s", "T-Limit: "+limits[n-1])
+	})
+	s := newTestServer(t, Route{Attempts: 1}, false, server.listener.Addr().String())
+	var got []any
+	for n := range limits {
+		sendRequest(t, s, http.MethodGet, fmt.Sprint("request-", n), "")
+		got = append(got, s.limitedServers())
+	}
+	want := []any{map[string]float64{}, map[string]float64{"i0": 4.5}, map[string]float64{"i0": 4.5}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
