router/direct: instances share the rate limit that a server states

Cause: nothing read what a server states of itself, so no decision knew of the limit.

An instance takes a slot of the server's limit before each attempt, first attempts and retries alike. Time is divided into slots of one request that the instances own by rank, so the shares add up to the limit without a message, whoever is lost. A request that any server may run goes to one with room; one whose owner has none waits for the next slot if it can still meet its target, and is otherwise refused at once with code 2027 (rate-limited) and the time until that slot. A limit outlasts a lapsed record of its server; a new incarnation starts without one.

--- a/router/direct/admission.go
+++ b/router/direct/admission.go
@@ -22,6 +22,7 @@
 type admission struct {
 	admitted     bool
 	retryAfter   time.Duration // set if not admitted
+	maxWait      time.Duration // time for which an admitted request may still wait before it is sent
 	expectedTime time.Duration // expected response time
 }
 
@@ -42,7 +43,7 @@
 		limit = max(time.Duration(timeFraction*float64(timeToDeadline)), unqueued)
 	}
 	if expected <= min(limit, timeToDeadline) {
-		return admission{admitted: true, expectedTime: expected}
+		return admission{admitted: true, maxWait: min(limit, timeToDeadline) - expected, expectedTime: expected}
 	}
 	excess := max(expected-limit, minRetryAfter)
 	return admission{retryAfter: boundRetryAfter(excess, timeToDeadline), expectedTime: expected}
--- a/router/direct/backend.go
+++ b/router/direct/backend.go
@@ -91,7 +91,7 @@
 }
 
 // candidate returns the server's state for server selection.
-func (b *backend) candidate(now time.Time) candidate {
+func (b *backend) candidate(fleet notice.Fleet, now time.Time) candidate {
 	info := b.info.Load()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -99,5 +99,6 @@
 		backend: b, distance: info.Distance, slots: b.load.slotCount(info), activeRequests: b.load.activeRequests(now),
 		slowness: b.load.slowness(info.Cold), rtt: b.load.rtt(info.Distance),
 		failureRatio: b.health.recentFailureRatio(now), ejected: b.health.ejected(now),
+		limitWait: b.rateLimit.Wait(fleet, now),
 	}
 }
--- a/router/direct/rate_limit.go
+++ b/router/direct/rate_limit.go
@@ -1,16 +1,68 @@
 package direct
 
 import (
+	"maps"
 	"time"
 
 	"bronzewind.example/core/notice"
+	"bronzewind.example/core/ownership"
 )
 
-// rateLimitStatement is what a response states about the rate limit of its server.
-type rateLimitStatement struct {
-	notice.Statement
-	valid      bool  // the response tells whether the server has a limit
-	unreadable error // the response has a limit that can't be read
+// formerLimitTime is how long the rate limit of an unlisted server is kept for the case
+// that the same incarnation is listed again.
+const formerLimitTime = time.Minute
+
+type (
+	// rateLimitStatement is what a response states about the rate limit of its server.
+	rateLimitStatement struct {
+		notice.Statement
+		valid      bool  // the response tells whether the server has a limit
+		unreadable error // the response has a limit that can't be read
+	}
+
+	// formerLimits holds the rate limits of servers that are no longer listed. Entries that
+	// are older than formerLimitTime are dropped when another one is added.
+	formerLimits map[ownership.Incarnation]formerLimit
+
+	formerLimit struct {
+		limit  notice.RateLimit
+		keptAt time.Time
+	}
+)
+
+// keep stores the limit of a server that is no longer listed, if it has one.
+func (f formerLimits) keep(incarnation ownership.Incarnation, b *backend, now time.Time) {
+	b.mu.Lock()
+	limit := b.rateLimit
+	b.mu.Unlock()
+	if limit.Rate() == 0 {
+		return
+	}
+	maps.DeleteFunc(f, func(_ ownership.Incarnation, old formerLimit) bool { return now.Sub(old.keptAt) > formerLimitTime })
+	f[incarnation] = formerLimit{limit: limit, keptAt: now}
+}
+
+// take returns the limit of a server that is listed again, and drops it. It is the zero
+// value if none is kept.
+func (f formerLimits) take(incarnation ownership.Incarnation) notice.RateLimit {
+	limit := f[incarnation].limit
+	delete(f, incarnation)
+	return limit
+}
+
+// reserveSlot takes the next request that the server's rate limit leaves to this instance,
+// if it may be sent within maxWait. It returns the time until then.
+func (b *backend) reserveSlot(fleet notice.Fleet, now time.Time, maxWait time.Duration) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rateLimit.Reserve(fleet, now, maxWait)
+}
+
+// returnSlot gives back what reserveSlot took, because nothing was sent.
+func (b *backend) returnSlot(fleet notice.Fleet) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.rateLimit.Return(fleet)
 }
 
 // readRateLimit returns what resp states. Only a server's complete response without a
--- a/router/direct/rate_limit_test.go
+++ b/router/direct/rate_limit_test.go
@@ -118,3 +118,25 @@
 		t.Errorf("(-want +got):\n%s", diff)
 	}
 }
+
+// TestLimitOutlastsRelisting guards against a burst at a limited server whose record lapsed
+// for a while, as in an outage of the store. A new incarnation has no limit.
+func TestLimitOutlastsRelisting(t *testing.T) {
+	server := newLimitedServer(t, "2")
+	s := newTestServer(t, Route{Attempts: 1}, false, server.listener.Addr().String())
+	sendRequest(t, s, http.MethodGet, "request", "")
+	now := time.Now()
+	limited := func(startedMillis int64, listed bool, at time.Duration) any {
+		var list []ServerInfo
+		if listed {
+			list = []ServerInfo{{Incarnation: ownership.Incarnation{ID: "i0", StartedMillis: startedMillis}, Service: "s", Address: server.listener.Addr().String(), Slots: 6}}
+		}
+		s.SetServers(list, now.Add(at))
+		return s.limitedServers()
+	}
+	limit, none := any(map[string]float64{"i0": 2}), any(map[string]float64{})
+	got := []any{limited(1, true, 0), limited(1, false, time.Second), limited(1, false, 2*time.Second), limited(1, true, 3*time.Second), limited(2, true, 4*time.Second)}
+	if diff := cmp.Diff([]any{limit, limit, none, limit, none}, got); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
--- a/router/direct/request_log.go
+++ b/router/direct/request_log.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"bronzewind.example/core/code"
 )
 
 // One in successSampleInterval requests that have an ID, were sent once and got
@@ -29,7 +31,7 @@
 		reason = a.err.Error()
 	}
 	now := time.Now()
-	c := b.candidate(now)
+	c := b.candidate(*s.fleet.Load(), now)
 	s.log.Event(event, "request", r.id, "route", state.route.Name, "service", state.service,
 		"server", info.ID, "address", info.Address, "code", int(a.code), "status", status, "reason", reason,
 		"took-ms", a.duration.Milliseconds(), "left-ms", r.deadline.Sub(now).Milliseconds(), "reused", a.reused,
@@ -66,9 +68,9 @@
 	if fail != nil {
 		attributes = append(attributes, "code", int(fail.code), "outcome", fail.code.Outcome().String(), "come-back-ms", fail.retryAfter.Milliseconds())
 	}
-	if c := state.rejected; fail != nil && c != nil {
+	if c := state.rejected; c != nil && fail != nil && (fail.code == code.TargetUnreachable || fail.code == code.RateLimited) {
 		attributes = append(attributes, "server", c.backend.info.Load().ID, "server-load", math.Round(c.activeRequests), "server-slots", c.slots,
-			"server-slowness", math.Round(100*c.slowness)/100, "expected-ms", state.expectedTime.Milliseconds(), "target-left-ms", state.timeToTarget.Milliseconds())
+			"server-slowness", math.Round(100*c.slowness)/100, "expected-ms", state.expectedTime.Milliseconds(), "target-left-ms", state.timeToTarget.Milliseconds(), "limit-wait-ms", c.limitWait.Milliseconds())
 	}
 	if key, ok := s.exclusiveKey(r, state.service); ok {
 		attributes = append(attributes, s.ownershipAttributes(state.service, key)...)
--- a/router/direct/selection.go
+++ b/router/direct/selection.go
@@ -37,8 +37,9 @@
 		activeRequests float64 // estimate of the requests running or waiting at the server
 		slowness       float64 // above 0
 		rtt            time.Duration
-		failureRatio   float64 // of recent attempts
-		ejected        bool    // used only if no other server is available
+		failureRatio   float64       // of recent attempts
+		ejected        bool          // used only if no other server is available
+		limitWait      time.Duration // until the server's rate limit leaves room for a request of this instance; used last while above 0
 	}
 
 	// requestProfile holds the properties of a request that server selection uses.
@@ -80,7 +81,7 @@
 	var inTimeCost, cheapestCost time.Duration
 	for i := range cs {
 		c := &cs[i]
-		if c.ejected || profile.bulk && c.distance == OtherRegion || wasAttempted(attempted, c.backend) {
+		if c.ejected || c.limitWait > 0 || profile.bulk && c.distance == OtherRegion || wasAttempted(attempted, c.backend) {
 			continue
 		}
 		cost := c.cost(profile)
@@ -97,6 +98,22 @@
 	return cheapest
 }
 
+// earliestByRateLimit returns the server whose rate limit leaves room first; nil if there is
+// none. Servers in attempted are left out.
+func earliestByRateLimit(cs []candidate, profile requestProfile, attempted []*backend) *candidate {
+	var soonest *candidate
+	for i := range cs {
+		c := &cs[i]
+		if profile.bulk && c.distance == OtherRegion || wasAttempted(attempted, c.backend) {
+			continue
+		}
+		if soonest == nil || c.limitWait < soonest.limitWait {
+			soonest = c
+		}
+	}
+	return soonest
+}
+
 func wasAttempted(attempted []*backend, b *backend) bool {
 	for _, s := range attempted {
 		if s == b {
--- a/router/direct/server.go
+++ b/router/direct/server.go
@@ -48,7 +48,8 @@
 		servers          atomic.Pointer[serverSnapshot]
 		ownership        atomic.Pointer[map[string]*ownershipSnapshot] // by service
 		fleet            atomic.Pointer[notice.Fleet]
-		closeCallerConns atomic.Bool // responses ask callers to close their connections
+		formerLimits     formerLimits // used by SetServers alone
+		closeCallerConns atomic.Bool  // responses ask callers to close their connections
 		crashChecks      sync.WaitGroup
 		responseMemory   memoryBudget
 
@@ -78,9 +79,10 @@
 		unsentAttempts int
 		unknownOutcome *requestFailure // of the last attempt with outcomeUnknown; nil if none
 		failedResponse *response       // a 5xx response of a server
+		reserved       *backend        // server at which a slot of its rate limit is reserved for the next attempt; nil if none
 
 		// Values of the admission decision that refused the request, for the log.
-		rejected     *candidate // server for which admit refused the request; nil if admit did not refuse it
+		rejected     *candidate // server for which admission or its rate limit refused the request; nil if neither did
 		expectedTime time.Duration
 		timeToTarget time.Duration
 	}
@@ -109,7 +111,7 @@
 func NewServer(d Protocol, log *oplog.Log, options ...Option) *Server {
 	s := &Server{
 		protocol: d, log: log, metrics: newMetrics(), splitter: newSplitter(), suspects: newSuspects(),
-		typicalDurations: newTypicalDurations(), demand: newDemandCounter(), onCrash: func(Fingerprint) {},
+		typicalDurations: newTypicalDurations(), demand: newDemandCounter(), formerLimits: formerLimits{}, onCrash: func(Fingerprint) {},
 		retryBudget: newRetryBudget(RetryBudgetLimits{Ratio: 0.1, Slack: 10, Window: 10 * time.Second}), // default; replaced by WithRetryBudget or SetRetryBudgetLimits
 		changed:     make(chan struct{}),
 	}
@@ -250,10 +252,37 @@
 // chooseServer returns the server for the next attempt of r, or the failure if
 // r can't be sent.
 func (s *Server) chooseServer(ctx context.Context, r *request, state *requestState) (*backend, *requestFailure) {
+	for {
+		b, maxWait, fail := s.findServer(ctx, r, state)
+		if fail != nil {
+			return nil, fail
+		}
+		if state.reserved == b {
+			state.reserved = nil
+			return b, nil
+		}
+		wait, ok := b.reserveSlot(*s.fleet.Load(), time.Now(), maxWait)
+		switch {
+		case !ok:
+			return nil, newFailure(code.RateLimited, wait, time.Until(r.deadline))
+		case wait == 0:
+			return b, nil
+		}
+		// The key may move to another server in the meantime.
+		state.reserved = b
+		if !waitForChange(ctx, nil, wait) {
+			return nil, newFailure(code.CancelledInQueue, 0, 0)
+		}
+	}
+}
+
+// findServer returns the server for the next attempt of r, and how long the attempt may
+// wait for the server's rate limit, or the failure if r can't be sent.
+func (s *Server) findServer(ctx context.Context, r *request, state *requestState) (*backend, time.Duration, *requestFailure) {
 	now := time.Now()
 	remaining := r.deadline.Sub(now)
 	if remaining <= 0 {
-		return nil, newFailure(code.DeadlineBeforeStart, 0, 0)
+		return nil, 0, newFailure(code.DeadlineBeforeStart, 0, 0)
 	}
 	profile := requestProfile{typicalDuration: s.typicalDurations.get(state.route), bodyBytes: int64(len(r.body)), bulk: state.route.Bulk}
 	timeToTarget := state.route.Target - now.Sub(state.startedAt)
@@ -262,29 +291,30 @@
 		s.demand.count(state.service, key)
 		b, fail := s.waitForOwner(ctx, r, state.service, key)
 		if fail != nil {
-			return nil, fail
+			return nil, 0, fail
 		}
 		now = time.Now()
 		remaining, timeToTarget = r.deadline.Sub(now), state.route.Target-now.Sub(state.startedAt)
-		owner := b.candidate(now)
+		owner := b.candidate(*s.fleet.Load(), now)
 		c = &owner
 	} else {
 		c = s.selectAnyServer(profile, timeToTarget, state, now)
 	}
 	if c == nil {
-		return nil, newFailure(code.BackendUnreachable, minRetryAfter, remaining)
+		return nil, 0, newFailure(code.BackendUnreachable, minRetryAfter, remaining)
 	}
 	if c.ejected && c.backend != nil && state.unsentAttempts > 0 {
 		// c is the key's owner, because selectAnyServer returns no candidate marked as
 		// ejected. The request fails without another attempt if the owner is ejected
 		// and an attempt of the request ended before a byte was sent.
-		return nil, newFailure(code.BackendUnreachable, minUnsentBackoff, remaining)
+		return nil, 0, newFailure(code.BackendUnreachable, minUnsentBackoff, remaining)
 	}
-	if a := admit(c, profile, timeToTarget, remaining); !a.admitted {
-		state.rejected, state.expectedTime, state.timeToTarget = c, a.expectedTime, timeToTarget
-		return nil, &requestFailure{code: code.TargetUnreachable, retryAfter: a.retryAfter}
+	a := admit(c, profile, timeToTarget, remaining)
+	state.rejected, state.expectedTime, state.timeToTarget = c, a.expectedTime, timeToTarget
+	if !a.admitted {
+		return nil, 0, &requestFailure{code: code.TargetUnreachable, retryAfter: a.retryAfter}
 	}
-	return c.backend, nil
+	return c.backend, a.maxWait, nil
 }
 
 // exclusiveKey returns the key of r if service is exclusive and r has a valid
@@ -320,13 +350,18 @@
 }
 
 // selectAnyServer selects a server for a request that any server of the service
-// may run. If none is available, it also considers ejected servers, and then
-// servers in other regions for a bulk request.
+// may run: the one with a slot reserved for the request, if it is still listed. If no
+// server is available, it also considers ejected servers, then servers in other regions
+// for a bulk request, and at last those whose rate limit leaves no room at present.
 func (s *Server) selectAnyServer(profile requestProfile, timeToTarget time.Duration, state *requestState, now time.Time) *candidate {
 	servers := s.servers.Load().services[state.service]
 	cs := make([]candidate, 0, len(servers))
 	for _, b := range servers {
-		cs = append(cs, b.candidate(now))
+		c := b.candidate(*s.fleet.Load(), now)
+		if b == state.reserved {
+			return &c
+		}
+		cs = append(cs, c)
 	}
 	if c := selectServer(cs, profile, timeToTarget, state.attempted); c != nil {
 		return c
@@ -337,14 +372,21 @@
 	if c := selectServer(cs, profile, timeToTarget, state.attempted); c != nil {
 		return c
 	}
-	profile.bulk = false
-	return selectServer(cs, profile, timeToTarget, state.attempted)
+	anywhere := profile
+	anywhere.bulk = false
+	if c := selectServer(cs, anywhere, timeToTarget, state.attempted); c != nil {
+		return c
+	}
+	return earliestByRateLimit(cs, profile, state.attempted)
 }
 
 // attempt sends r to b once and records the result.
 func (s *Server) attempt(ctx context.Context, b *backend, r *request, state *requestState) attemptResult {
 	b.attemptStarted(time.Now())
 	a := s.exchange(ctx, b, r)
+	if a.outcome == outcomeUnsent {
+		b.returnSlot(*s.fleet.Load())
+	}
 	now := time.Now()
 	sample := attemptSample{
 		outcome: a.outcome, duration: a.duration, typicalDuration: s.typicalDurations.get(state.route),
--- a/router/direct/snapshots.go
+++ b/router/direct/snapshots.go
@@ -68,6 +68,7 @@
 			known.backend.info.Store(&info)
 		} else {
 			known.backend = newBackend(listed)
+			known.backend.rateLimit = s.formerLimits.take(listed.Incarnation)
 		}
 		switch {
 		case !listed.Leaving:
@@ -104,6 +105,7 @@
 			continue
 		}
 		known.backend.pool.close()
+		s.formerLimits.keep(incarnation, known.backend, now)
 	}
 }
 
