ownership, platform: keys move away from a server beyond its stated limit

With the limit shared by the instances, a server that owns keys got no more than it takes, but callers of its keys were refused for as long as the keys stayed there: the granter knew the server's slots and speed, not its limit.

Instances report the limits that were stated to them with their demand, and the planner counts a limited server with the slots that 0.6 of its limit keeps busy.

--- a/core/ownership/events.go
+++ b/core/ownership/events.go
@@ -79,6 +79,7 @@
 		Demand          Demand
 		MeanServiceTime time.Duration      // mean time that a request takes in a slot; 0 if not known
 		Slowness        map[string]float64 // by server ID: service time there relative to the mean of all servers; above 0
+		RateLimits      map[string]float64 // by server ID: requests a second that a server with a stated limit takes; above 0
 	}
 
 	// PartitionMapWritten reports the outcome of the WritePartitionMap of a map with this
--- a/core/ownership/granter.go
+++ b/core/ownership/granter.go
@@ -87,6 +87,7 @@
 	server struct {
 		Server
 		slowness             float64   // service time relative to the mean of all servers; 0 if not known
+		rateLimit            float64   // requests a second; 0 if the server states no limit
 		unlisted             bool      // not in the latest server list
 		lastGrantDecidedAt   time.Time // when the last grant was decided on; it is sent within Timing.SendTimeout or never
 		lastUnanswered       time.Time // when the last unanswered grant was sent
@@ -311,14 +312,15 @@
 	return b
 }
 
-// applyDemand records the demand and the slowness of servers as the instances
-// measured them.
+// applyDemand records the demand, and the slowness and rate limits of servers, as the
+// instances measured them.
 func (s *service) applyDemand(e DemandMeasured) {
 	s.demand, s.meanServiceTime = newDemandSums(e.Demand), e.MeanServiceTime
 	for _, srv := range s.servers {
 		if slow, ok := e.Slowness[srv.ID]; ok && slow > 0 {
 			srv.slowness = slow
 		}
+		srv.rateLimit = e.RateLimits[srv.ID]
 	}
 }
 
--- a/core/ownership/granter_test.go
+++ b/core/ownership/granter_test.go
@@ -464,3 +464,35 @@
 		t.Errorf("the granter uses a map with fences up to %d, want %d as in the map that the store has", got, want)
 	}
 }
+
+// TestLimitedServerGetsFewerKeys guards against callers that are refused for seconds
+// because the keys of a server stay there although they need more than the rate limit that
+// it has stated. The other servers have room.
+func TestLimitedServerGetsFewerKeys(t *testing.T) {
+	const limit = 6.0
+	r := newTestRig(t, 6)
+	var demand Demand
+	for i := range demand.Buckets {
+		demand.Buckets[i] = 0.6
+	}
+	demandOf := func(id string) float64 {
+		sum := 0.0
+		for _, p := range r.g.service("s").partitionMap.Partitions {
+			if p.Owner.ID == id {
+				sum += newDemandSums(demand).of(p.Range)
+			}
+		}
+		return sum
+	}
+	measure := func(limits map[string]float64) {
+		r.step(DemandMeasured{Service: "s", Demand: demand, MeanServiceTime: 90 * time.Millisecond, RateLimits: limits})
+	}
+	measure(nil)
+	r.advance(2 * time.Second)
+	before := demandOf("s0")
+	measure(map[string]float64{"s0": limit})
+	r.advance(2 * time.Second)
+	if got := demandOf("s0"); got > limit || got == 0 {
+		t.Errorf("keys that need %.1f requests a second are left at a server that takes %v (%.1f before)", got, limit, before)
+	}
+}
--- a/core/ownership/plan.go
+++ b/core/ownership/plan.go
@@ -40,6 +40,10 @@
 	// coldCapacityFactor is the share of its capacity with which a server counts
 	// while it is slow after its start.
 	coldCapacityFactor = 0.5
+
+	// rateLimitUse is the share of a server's stated rate limit that its keys may need on
+	// average. The rest allows for callers that are spread unevenly over the instances.
+	rateLimitUse = 0.6
 )
 
 type (
@@ -90,7 +94,7 @@
 	unreachable := s.unreachableServers(now)
 	for _, srv := range s.servers {
 		if s.eligible(srv) && !unreachable[srv.Incarnation] {
-			pl.targets = append(pl.targets, &target{server: srv, capacity: capacity(srv)})
+			pl.targets = append(pl.targets, &target{server: srv, capacity: s.capacity(srv)})
 		}
 	}
 	pl.byIncarnation = make(map[Incarnation]*target, len(pl.targets))
@@ -128,8 +132,9 @@
 }
 
 // capacity returns the capacity of srv relative to other servers of its service: its
-// slots, reduced by its slowness and during its cold start.
-func capacity(srv *server) float64 {
+// slots, reduced by its slowness, during its cold start and to what its rate limit lets
+// through.
+func (s *service) capacity(srv *server) float64 {
 	out := float64(max(1, srv.Slots))
 	if srv.slowness > 0 {
 		out /= srv.slowness
@@ -137,6 +142,9 @@
 	if srv.Cold {
 		out *= coldCapacityFactor
 	}
+	if srv.rateLimit > 0 && s.meanServiceTime > 0 {
+		out = min(out, rateLimitUse*srv.rateLimit*s.meanServiceTime.Seconds())
+	}
 	return out
 }
 
--- a/router/datagram/datagram.go
+++ b/router/datagram/datagram.go
@@ -98,6 +98,8 @@
 
 		WorkMs   float32            `cbor:"5,keyasint,omitempty"` // in a slot that a request takes on average
 		Slowness map[string]float32 `cbor:"6,keyasint,omitempty"` // by server ID: time that work takes there against the average
+
+		RateLimits map[string]float32 `cbor:"7,keyasint,omitempty"` // by server ID: requests a second
 	}
 
 	// Bus sends and receives messages at one UDP address.
--- a/router/direct/demand.go
+++ b/router/direct/demand.go
@@ -14,6 +14,10 @@
 	hotKeyRate     = 3.0  // counts a second (see demandCounter) from which a key is reported individually
 	maxCountedKeys = 4096 // per service
 
+	// rateLimitReportTime is how long TakeDemand includes a rate limit after a response
+	// stated it.
+	rateLimitReportTime = 5 * time.Second
+
 	// minSlownessSamples is the number of samples from which TakeDemand includes a
 	// server's slowness.
 	minSlownessSamples = 8
@@ -56,6 +60,7 @@
 	Demand          ownership.Demand
 	MeanServiceTime time.Duration      // mean typical duration of the service's requests, see typicalDurations
 	Slowness        map[string]float64 // by server ID: duration of requests relative to the typical duration, see serverLoad
+	RateLimits      map[string]float64 // by server ID: requests a second, of the limits stated within rateLimitReportTime
 }
 
 // TakeDemand returns the demand measured since the last call, by service.
@@ -72,6 +77,7 @@
 	for service, keys := range counts {
 		out[service] = ServiceDemand{
 			Demand: demandRates(keys, elapsedSeconds), MeanServiceTime: s.typicalDurations.meanOfService(service), Slowness: s.measuredSlowness(service),
+			RateLimits: s.rateLimits(service, now),
 		}
 	}
 	return out
@@ -92,6 +98,20 @@
 	return out
 }
 
+// rateLimits returns the rate limits of the servers of service, by server ID.
+func (s *Server) rateLimits(service string, now time.Time) map[string]float64 {
+	out := map[string]float64{}
+	for _, b := range s.servers.Load().services[service] {
+		b.mu.Lock()
+		limit := b.rateLimit
+		b.mu.Unlock()
+		if limit.Rate() > 0 && now.Sub(limit.StatedAt()) < rateLimitReportTime {
+			out[b.info.Load().ID] = limit.Rate()
+		}
+	}
+	return out
+}
+
 // demandRates converts the counts of demandCounter to rates. Keys with a rate of
 // at least hotKeyRate are listed individually, at most the maxHotKeys with the
 // highest rates; the rates of the other keys are added up in buckets.
