--- a/core/tcp/tcp.go
+++ b/core/tcp/tcp.go
@@ -3,6 +3,7 @@
 package tcp
 
 import (
+	"context"
 	"errors"
 	"net"
 	"syscall"
@@ -11,6 +12,9 @@
 	"golang.org/x/sys/unix"
 )
 
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // UserTimeout returns a net.Dialer's Control that ends a connection once sent
 // bytes stay without acknowledgement for limit. It shows a connection that went
 // silent without a reset.
--- a/router/direct/backend.go
+++ b/router/direct/backend.go
@@ -7,6 +7,7 @@
 
 	"bronzewind.example/core/notice"
 	"bronzewind.example/core/ownership"
+	"bronzewind.example/core/tcp"
 )
 
 type (
@@ -61,8 +62,8 @@
 	}
 }
 
-func newBackend(info ServerInfo) *backend {
-	b := &backend{}
+func newBackend(info ServerInfo, dial tcp.DialFunc) *backend {
+	b := &backend{pool: pool{dial: dial}}
 	b.info.Store(&info)
 	return b
 }
--- a/router/direct/conn.go
+++ b/router/direct/conn.go
@@ -44,6 +44,8 @@
 type (
 	// pool holds the connections to one backend server.
 	pool struct {
+		dial tcp.DialFunc // nil means Dial
+
 		mu        sync.Mutex
 		idle      []*conn // most recently used last; guarded by mu
 		open      int     // connections idle, in use or being opened; guarded by mu
@@ -96,7 +98,7 @@
 			return nil, 0, fmt.Errorf("%w of %d", errConnLimit, limit)
 		}
 	}
-	c, dialTime, err := dial(ctx, address, deadline)
+	c, dialTime, err := p.connect(ctx, address, deadline)
 	if err != nil {
 		p.mu.Lock()
 		p.open--
@@ -151,11 +153,26 @@
 	}
 }
 
-// dial opens a connection and returns it with the time taken.
-func dial(ctx context.Context, address string, deadline time.Time) (*conn, time.Duration, error) {
-	d := net.Dialer{Timeout: dialTimeout, Deadline: deadline, KeepAlive: -1, Control: tcp.UserTimeout(ackTimeout)}
+// Dial opens a connection to a backend server or to another instance; it is a
+// tcp.DialFunc.
+func Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{KeepAlive: -1, Control: tcp.UserTimeout(ackTimeout)}
+	return d.DialContext(ctx, network, address)
+}
+
+// connect opens a connection and returns it with the time taken.
+func (p *pool) connect(ctx context.Context, address string, deadline time.Time) (*conn, time.Duration, error) {
 	start := time.Now()
-	raw, err := d.DialContext(ctx, "tcp", address)
+	if latest := start.Add(dialTimeout); latest.Before(deadline) {
+		deadline = latest
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	dial := p.dial
+	if dial == nil {
+		dial = Dial
+	}
+	raw, err := dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, 0, err
 	}
--- a/router/direct/server.go
+++ b/router/direct/server.go
@@ -16,6 +16,7 @@
 	"bronzewind.example/core/notice"
 	"bronzewind.example/core/oplog"
 	"bronzewind.example/core/ownership"
+	"bronzewind.example/core/tcp"
 )
 
 const (
@@ -43,6 +44,7 @@
 		typicalDurations *typicalDurations
 		demand           *demandCounter
 		onCrash          func(Fingerprint)
+		dial             tcp.DialFunc // to backend servers; nil means Dial
 
 		routingTable     atomic.Pointer[RoutingTable]
 		servers          atomic.Pointer[serverSnapshot]
@@ -106,6 +108,11 @@
 	return func(s *Server) { s.onCrash = onCrash }
 }
 
+// WithDial sets how connections to backend servers are opened.
+func WithDial(dial tcp.DialFunc) Option {
+	return func(s *Server) { s.dial = dial }
+}
+
 // NewServer returns a Server that refuses all requests until SetRoutingTable is
 // called.
 func NewServer(d Protocol, log *oplog.Log, options ...Option) *Server {
--- a/router/direct/snapshots.go
+++ b/router/direct/snapshots.go
@@ -67,7 +67,7 @@
 			info := listed
 			known.backend.info.Store(&info)
 		} else {
-			known.backend = newBackend(listed)
+			known.backend = newBackend(listed, s.dial)
 			known.backend.rateLimit = s.formerLimits.take(listed.Incarnation)
 		}
 		switch {
