router/direct, platform: a partitioned granter gives its role up

An instance now knows whether it reaches servers: attempts at several servers in a row that fail raise the suspicion, connections opened for the purpose decide, and other instances are asked whether they reach servers (only then, at most eight of them). If others do, it neither joins the granter group nor keeps the role: its status says that it gives the role up, as at a planned stop, and another instance claims it. If no instance reaches servers, nothing changes. The belief is logged (servers-unreachable, servers-reachable) and counted (partitions).

--- a/router/datagram/datagram.go
+++ b/router/datagram/datagram.go
@@ -52,6 +52,15 @@
 		Epoch   uint64   `cbor:"8,keyasint,omitempty"` // under which the sender grants
 
 		Resigned *Resigned `cbor:"9,keyasint,omitempty"`
+
+		AsksReach bool   `cbor:"10,keyasint,omitempty"` // the sender asks for Reach
+		Reach     *Reach `cbor:"11,keyasint,omitempty"`
+	}
+
+	// Reach says whether the sender reaches backend servers.
+	Reach struct {
+		Servers       bool   `cbor:"1,keyasint"`
+		FailureDomain string `cbor:"2,keyasint"` // of the sender
 	}
 
 	// End says how far a topic of the store goes, as the sender knows it.
--- a/router/direct/conn.go
+++ b/router/direct/conn.go
@@ -76,6 +76,16 @@
 
 var errConnLimit = errors.New("no connection to the backend server became available at this instance's connection limit")
 
+// accepts reports whether the server accepts a connection, which is closed at once.
+func (p *pool) accepts(ctx context.Context, address string) bool {
+	c, _, err := p.connect(ctx, address, time.Now().Add(dialTimeout))
+	if err != nil {
+		return false
+	}
+	_ = c.Close() // nothing was sent
+	return true
+}
+
 // get returns an idle connection on which no request with requestID was sent before, or
 // opens a new one. If limit connections are
 // already open, it waits up to connWaitTimeout until one is available: idle, or
--- a/router/direct/exchange.go
+++ b/router/direct/exchange.go
@@ -107,6 +107,7 @@
 		code                 code.Code
 		err                  error
 		connLimited          bool // not sent because the instance reached its connection limit
+		responded            bool // the server sent bytes
 		closedBeforeResponse bool // the server closed or reset the connection before a complete response head
 		report               LoadReport
 		rateLimit            rateLimitStatement
@@ -163,7 +164,7 @@
 	}
 	_ = write.wait() // returns soon: the writing is complete or the connection is closed
 	a.duration = time.Since(start) - dialTime
-	a.bytes = c.bytesWritten + c.bytesRead
+	a.bytes, a.responded = c.bytesWritten+c.bytesRead, c.bytesRead > 0
 	if reusable {
 		b.pool.put(c, time.Now()) // from here on, c belongs to another attempt
 	}
--- a/router/direct/server.go
+++ b/router/direct/server.go
@@ -44,6 +44,8 @@
 		typicalDurations *typicalDurations
 		demand           *demandCounter
 		onCrash          func(Fingerprint)
+		reachability     *reachability
+		peers            peers
 		dial             tcp.DialFunc // to backend servers; nil means Dial
 
 		routingTable     atomic.Pointer[RoutingTable]
@@ -118,7 +120,7 @@
 func NewServer(d Protocol, log *oplog.Log, options ...Option) *Server {
 	s := &Server{
 		protocol: d, log: log, metrics: newMetrics(), splitter: newSplitter(), suspects: newSuspects(),
-		typicalDurations: newTypicalDurations(), demand: newDemandCounter(), formerLimits: formerLimits{}, onCrash: func(Fingerprint) {},
+		typicalDurations: newTypicalDurations(), demand: newDemandCounter(), reachability: newReachability(), peers: peers{reached: map[string]reachingPeer{}}, formerLimits: formerLimits{}, onCrash: func(Fingerprint) {},
 		retryBudget: newRetryBudget(RetryBudgetLimits{Ratio: 0.1, Slack: 10, Window: 10 * time.Second}), // default; replaced by WithRetryBudget or SetRetryBudgetLimits
 		changed:     make(chan struct{}),
 	}
@@ -404,6 +406,7 @@
 	}
 	slowness := b.attemptFinished(sample, a.dialTime, now)
 	s.observeRateLimit(b, a, now)
+	s.reachability.observe(b, a)
 	// If requests wait at the server, the duration may include such a wait.
 	if a.outcome == outcomeDone && sample.status < 500 && a.report.Valid && a.report.Waiting == 0 {
 		s.typicalDurations.observe(state.route, state.service, time.Duration(float64(a.duration)/slowness))
