TestUnreachableServer: the closed port stays closed

The test failed once with status 200 from the address at which no server should listen. The second listener is now opened first. The checks are unchanged.

--- a/router/direct/exchange_test.go
+++ b/router/direct/exchange_test.go
@@ -251,10 +251,10 @@
 // BackendUnreachable if no server accepts one.
 func TestUnreachableServer(t *testing.T) {
 	unreachable := newScriptedServer(t, nil)
-	unreachable.stop()
 	good := newScriptedServer(t, func(c net.Conn, r *http.Request, _ int64) {
 		writeTestResponse(c, 200, r.Header.Get("T-Id"), "good", "T-Signed: s")
 	})
+	unreachable.stop() // not before, since the good server might get the same port
 	s := newTestServer(t, Route{Attempts: 1}, false, unreachable.listener.Addr().String(), good.listener.Addr().String())
 	for i := range 4 {
 		if w := sendRequest(t, s, "POST", fmt.Sprint("r", i), "x"); w.Code != 200 {
