router/direct, platform: a partitioned instance sends by way of its peers

Callers of an instance that had lost its links to all servers were served 10 of 884 first tries, while the other instances reached the servers: it knew of failed attempts server by server only, and had no other way to a server.

A partitioned instance now sends each request to another instance that has reported within 1.5 s that it reaches servers, over HTTP at the address where it takes datagrams. That instance attempts the request once and never forwards it again; deadline, request ID, the caller's address for quarantine and a caller's departure go along, and the outcome stays true: what the peer states as not run may be tried elsewhere within the route's attempts and the retry budget, any other loss is unknown. A peer serves at most 64 such requests at once.

--- a/router/direct/backend.go
+++ b/router/direct/backend.go
@@ -26,10 +26,11 @@
 	Distance int
 
 	// backend is a backend server with this instance's connections to it and
-	// observations of its load and health.
+	// observations of its load and health. It also stands for a peer, which has no ID.
 	backend struct {
 		info atomic.Pointer[ServerInfo]
 		pool pool
+		peer bool // another instance
 
 		mu        sync.Mutex
 		load      serverLoad       // guarded by mu
--- a/router/direct/exchange.go
+++ b/router/direct/exchange.go
@@ -79,6 +79,8 @@
 		header     http.Header
 		body       []byte
 		idempotent bool
+		callerIP   string // "" if not known
+		forwarded  bool   // received from another instance
 		deadline   time.Time
 
 		reservedBytes int64 // of Server.responseMemory; released when the request ends
@@ -154,9 +156,9 @@
 	}
 	write := &requestWrite{result: make(chan error, 1)}
 	if len(r.body) <= maxInlineBodyBytes {
-		write.result <- s.writeRequest(c, r, info.ID)
+		write.result <- s.writeRequest(c, r, b)
 	} else {
-		go func() { write.result <- s.writeRequest(c, r, info.ID) }()
+		go func() { write.result <- s.writeRequest(c, r, b) }()
 	}
 	reusable := s.readResponse(ctx, c, r, &a, write)
 	if !reusable {
@@ -178,11 +180,15 @@
 	return outcomeUnsent
 }
 
-// writeRequest writes r as the caller sent it, except for hop-by-hop headers and
-// the headers that the instance sets.
-func (s *Server) writeRequest(c *conn, r *request, serverID string) error {
+// writeRequest writes r to b, a backend server or a peer, as the caller sent it, except for
+// hop-by-hop headers and the headers that the instance sets.
+func (s *Server) writeRequest(c *conn, r *request, b *backend) error {
 	h := r.header.Clone()
-	h.Set(s.protocol.ExpectedServer, serverID)
+	if b.peer {
+		h.Set(callerIPHeader, r.callerIP)
+	} else {
+		h.Set(s.protocol.ExpectedServer, b.info.Load().ID)
+	}
 	h.Set(s.protocol.Deadline, strconv.FormatInt(max(1, time.Until(r.deadline).Milliseconds()), 10))
 	if _, ok := h["User-Agent"]; !ok {
 		h.Set("User-Agent", "") // prevents net/http from adding its own
--- a/router/direct/metrics.go
+++ b/router/direct/metrics.go
@@ -24,6 +24,7 @@
 		failures    *expvar.Map // requestFailures by result code; published as refusals
 		attempts    *expvar.Map // by service and outcome
 		dials       *expvar.Int
+		forwarded   *expvar.Map // requests sent by way of another instance, by outcome
 		partitions  *expvar.Int // times when the instance began to reach no server
 		undelivered *expvar.Int // responses that could not be written to the caller
 		bytes       *expvar.Map // to and from backend servers, by service and distance
@@ -37,13 +38,14 @@
 func newMetrics() *Metrics {
 	m := &Metrics{
 		responses: new(expvar.Map), failures: new(expvar.Map), attempts: new(expvar.Map),
-		dials: new(expvar.Int), partitions: new(expvar.Int), undelivered: new(expvar.Int), bytes: new(expvar.Map), all: new(expvar.Map),
+		dials: new(expvar.Int), forwarded: new(expvar.Map), partitions: new(expvar.Int), undelivered: new(expvar.Int), bytes: new(expvar.Map), all: new(expvar.Map),
 		latencies: map[string]*hdrhistogram.Histogram{},
 	}
 	m.all.Set("answers", m.responses)
 	m.all.Set("refusals", m.failures)
 	m.all.Set("tries", m.attempts)
 	m.all.Set("connections-opened", m.dials)
+	m.all.Set("forwarded", m.forwarded)
 	m.all.Set("partitions", m.partitions)
 	m.all.Set("answers-not-delivered", m.undelivered)
 	m.all.Set("bytes-by-distance", m.bytes)
--- a/router/direct/request_log.go
+++ b/router/direct/request_log.go
@@ -38,6 +38,19 @@
 		"server-load", c.activeRequests, "server-slots", c.slots, "server-failing", c.failureRatio, "budget-left", s.retryBudget.remaining(state.service, now))
 }
 
+// logForward logs an attempt by way of another instance.
+func (s *Server) logForward(r *request, state *requestState, a attemptResult) {
+	status, reason := 0, ""
+	if a.response != nil {
+		status = a.response.status
+	}
+	if a.err != nil {
+		reason = a.err.Error()
+	}
+	s.log.Limited("forward-failed", "request", r.id, "route", state.route.Name, "peer", state.peer, "outcome", a.outcome.String(),
+		"code", int(a.code), "status", status, "reason", reason, "took-ms", a.duration.Milliseconds(), "left-ms", time.Until(r.deadline).Milliseconds())
+}
+
 // recordRequest counts a finished request. Subject to the event's rate limit, it
 // logs the request if it failed, got a 5xx response, was sent more than once or
 // is sampled.
@@ -65,6 +78,12 @@
 		"request", r.id, "route", route, "service", state.service, "config-version", version, "status", status,
 		"tries", state.sentAttempts, "unsent", state.unsentAttempts, "took-ms", duration.Milliseconds(), "left-ms", time.Until(r.deadline).Milliseconds(),
 	}
+	if state.peer != "" {
+		attributes = append(attributes, "peer", state.peer)
+	}
+	if r.forwarded {
+		attributes = append(attributes, "forwarded", true)
+	}
 	if fail != nil {
 		attributes = append(attributes, "code", int(fail.code), "outcome", fail.code.Outcome().String(), "come-back-ms", fail.retryAfter.Milliseconds())
 	}
--- a/router/direct/server.go
+++ b/router/direct/server.go
@@ -83,6 +83,7 @@
 		unsentAttempts int
 		unknownOutcome *requestFailure // of the last attempt with outcomeUnknown; nil if none
 		failedResponse *response       // a 5xx response of a server
+		peer           string          // instance by way of which the last attempt was made; "" if it was made directly
 		reserved       *backend        // server at which a slot of its rate limit is reserved for the next attempt; nil if none
 
 		// Values of the admission decision that refused the request, for the log.
@@ -120,7 +121,7 @@
 func NewServer(d Protocol, log *oplog.Log, options ...Option) *Server {
 	s := &Server{
 		protocol: d, log: log, metrics: newMetrics(), splitter: newSplitter(), suspects: newSuspects(),
-		typicalDurations: newTypicalDurations(), demand: newDemandCounter(), reachability: newReachability(), peers: peers{reached: map[string]reachingPeer{}}, formerLimits: formerLimits{}, onCrash: func(Fingerprint) {},
+		typicalDurations: newTypicalDurations(), demand: newDemandCounter(), reachability: newReachability(), peers: peers{serving: make(chan struct{}, maxForwardedRequests), reached: map[string]reachingPeer{}}, formerLimits: formerLimits{}, onCrash: func(Fingerprint) {},
 		retryBudget: newRetryBudget(RetryBudgetLimits{Ratio: 0.1, Slack: 10, Window: 10 * time.Second}), // default; replaced by WithRetryBudget or SetRetryBudgetLimits
 		changed:     make(chan struct{}),
 	}
@@ -153,11 +154,18 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	callerIP, _, _ := net.SplitHostPort(hr.RemoteAddr)
+	s.serveRequest(w, hr, requestOrigin{callerIP: callerIP})
+}
+
+// serveRequest reads one request, serves it and writes the response.
+func (s *Server) serveRequest(w http.ResponseWriter, hr *http.Request, origin requestOrigin) {
 	start := time.Now()
 	if s.closeCallerConns.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	r, route, fail := s.readRequest(hr, start)
+	r.callerIP, r.forwarded = origin.callerIP, origin.forwarded
 	defer func() { s.responseMemory.release(r.reservedBytes) }()
 	state := &requestState{startedAt: start, route: route}
 	if fail == nil {
@@ -237,13 +245,20 @@
 // allowed.
 func (s *Server) serve(hr *http.Request, r *request, state *requestState) (*response, *requestFailure) {
 	ctx := hr.Context()
-	callerIP, _, _ := net.SplitHostPort(hr.RemoteAddr)
-	fp := fingerprint(r.method, r.requestURI, callerIP, r.body)
+	fp := fingerprint(r.method, r.requestURI, r.callerIP, r.body)
 	if s.suspects.quarantined(fp, state.startedAt) {
 		return nil, &requestFailure{code: code.Quarantined}
 	}
-	s.retryBudget.countRequest(state.service, state.startedAt)
+	if !r.forwarded { // the instance that received the request from its caller counts it
+		s.retryBudget.countRequest(state.service, state.startedAt)
+	}
 	for {
+		if peer := s.choosePeer(r, state); peer != nil {
+			if resp, fail := s.tryPeer(ctx, peer, r, state); resp != nil || fail != nil {
+				return resp, fail
+			}
+			continue
+		}
 		b, fail := s.chooseServer(ctx, r, state)
 		if fail != nil {
 			return state.finalResult(fail)
@@ -391,6 +406,7 @@
 
 // attempt sends r to b once and records the result.
 func (s *Server) attempt(ctx context.Context, b *backend, r *request, state *requestState) attemptResult {
+	state.peer = ""
 	b.attemptStarted(time.Now())
 	a := s.exchange(ctx, b, r)
 	if a.outcome == outcomeUnsent {
@@ -433,7 +449,7 @@
 			return a.response, nil
 		}
 		state.failedResponse = a.response
-		if !s.takeRetry(state, now, remaining) {
+		if !s.takeRetry(r, state, now, remaining) {
 			return a.response, nil
 		}
 	case outcomeCancelled:
@@ -443,7 +459,7 @@
 			return state.finalResult(newFailure(code.BackendUnreachable, minUnsentBackoff, remaining))
 		}
 	case outcomeNotRun:
-		if !s.takeRetry(state, now, remaining) {
+		if !s.takeRetry(r, state, now, remaining) {
 			return state.finalResult(newFailure(code.RefusedByBackend, s.typicalDurations.get(state.route)/2, remaining))
 		}
 	case outcomeUnknown:
@@ -452,17 +468,20 @@
 			return nil, fail
 		}
 		state.unknownOutcome = fail
-		if !s.takeRetry(state, now, remaining) {
+		if !s.takeRetry(r, state, now, remaining) {
 			return state.finalResult(fail)
 		}
 	}
 	return nil, nil
 }
 
-// takeRetry takes a retry from the budget. It returns false if the route's limit
-// on attempts is reached, the remaining time is too short or the budget is
+// takeRetry takes a retry of r from the budget. It returns false if r was forwarded, the
+// route's limit on attempts is reached, the remaining time is too short or the budget is
 // exhausted.
-func (s *Server) takeRetry(state *requestState, now time.Time, remaining time.Duration) bool {
+func (s *Server) takeRetry(r *request, state *requestState, now time.Time, remaining time.Duration) bool {
+	if r.forwarded { // the instance that received the request from its caller retries
+		return false
+	}
 	return state.sentAttempts < state.route.Attempts && remaining > s.typicalDurations.get(state.route) && s.retryBudget.take(state.service, now)
 }
 
@@ -512,6 +531,9 @@
 		h.Set(s.protocol.RequestID, r.id)
 	}
 	h.Set(code.Header, strconv.Itoa(int(fail.code)))
+	if r.forwarded && fail.code.Outcome() == code.NotRun {
+		h.Set(s.protocol.NotRun, "1")
+	}
 	h.Set("Content-Length", "0")
 	if fail.retryAfter > 0 && status == http.StatusServiceUnavailable {
 		// Seconds with three decimals, where HTTP defines whole seconds.
--- a/router/direct/snapshots.go
+++ b/router/direct/snapshots.go
@@ -206,4 +206,5 @@
 	for _, known := range s.servers.Load().incarnations {
 		known.backend.pool.closeExpired(now)
 	}
+	s.peers.closeExpired(now)
 }
