router/direct, platform: requests at the end of a grace are answered

Once the connections are about to be closed, a request that has more time than is left is refused as not run (code 2019), so that its caller tries another instance. TestRequestAtEndOfGraceIsAnswered failed before (EOF; one connection closed while in use) and passes now; TestLateRequestsOfStop covers early and late requests.

--- a/router/direct/server.go
+++ b/router/direct/server.go
@@ -54,6 +54,7 @@
 		fleet            atomic.Pointer[notice.Fleet]
 		formerLimits     formerLimits // used by SetServers alone
 		closeCallerConns atomic.Bool  // responses ask callers to close their connections
+		stop             atomic.Pointer[plannedStop]
 		crashChecks      sync.WaitGroup
 		responseMemory   memoryBudget
 
@@ -64,6 +65,12 @@
 	// Option configures a Server at its construction.
 	Option func(*Server)
 
+	// plannedStop is the end of a planned stop.
+	plannedStop struct {
+		lateFrom time.Time // requests that arrive later are taken only if their deadline is before end
+		end      time.Time // every request is answered by then
+	}
+
 	// requestFailure is the result of a request for which the instance has no
 	// response of a backend server to forward. Depending on its code, the request
 	// may have run.
@@ -140,6 +147,27 @@
 // so that they connect to another instance.
 func (s *Server) CloseCallerConnections() { s.closeCallerConns.Store(true) }
 
+// PrepareStop tells that the instance closes all connections soon after end. Requests that
+// arrive after lateFrom and have more time than that are refused, and all others are
+// answered by end.
+func (s *Server) PrepareStop(lateFrom, end time.Time) {
+	s.stop.Store(&plannedStop{lateFrom: lateFrom, end: end})
+}
+
+// admitDuringStop refuses r if it may not end before the instance stops, and bounds its
+// deadline otherwise.
+func (s *Server) admitDuringStop(r *request, now time.Time) *requestFailure {
+	stop := s.stop.Load()
+	switch {
+	case stop == nil || !r.deadline.After(stop.end):
+		return nil
+	case now.After(stop.lateFrom):
+		return newFailure(code.Draining, minRetryAfter, r.deadline.Sub(now))
+	}
+	r.deadline = stop.end
+	return nil
+}
+
 // RecordCrash counts a crash that another instance reported.
 func (s *Server) RecordCrash(f Fingerprint) { s.suspects.recordCrash(f, time.Now()) }
 
@@ -168,6 +196,9 @@
 	r.callerIP, r.forwarded = origin.callerIP, origin.forwarded
 	defer func() { s.responseMemory.release(r.reservedBytes) }()
 	state := &requestState{startedAt: start, route: route}
+	if fail == nil {
+		fail = s.admitDuringStop(r, time.Now()) // the body may have taken long
+	}
 	if fail == nil {
 		state.service = s.splitter.nextPart(route, s.partDistance(r, start)).Service
 		var resp *response
