router/direct: a peer is not ejected for what backend servers respond

A partitioned instance counted a failed response as a failure of the peer that passed it on, and put that peer aside for 0.5 s. With one peer it then had none: 503 without an attempt.

Only a peer that can't be reached, breaks off or states that it reaches no server either is ejected. TestResponseCutAnywhere cuts a response off after each possible number of bytes, directly and by way of a peer: no cut response is passed on as a success (it was none before either); by way of a peer the whole response got 503 before, since the peer was ejected.

--- a/router/direct/faulty_response_test.go
+++ b/router/direct/faulty_response_test.go
@@ -155,3 +155,38 @@
 		})
 	}
 }
+
+// TestResponseCutAnywhere guards against a response that ends early and reaches the caller
+// as a complete success, above all one that ends within its head. The server closes the
+// connection after each possible number of bytes; the last attempt gets all of them.
+func TestResponseCutAnywhere(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nT-Id: request\r\nT-Signed: s\r\n"
+	for name, full := range map[string]string{
+		"with a length": head + "Content-Length: 12\r\n\r\ntwelve bytes",
+		"in chunks":     head + "Transfer-Encoding: chunked\r\nTrailer: X-End\r\n\r\n5\r\ntwelv\r\n7\r\ne bytes\r\n0\r\nX-End: yes\r\n\r\n",
+		"without body":  head + "Content-Length: 0\r\n\r\n",
+		"no content":    strings.Replace(head, "200 OK", "204 No Content", 1) + "\r\n",
+		"after a hint":  "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok",
+	} {
+		var written int
+		server := newScriptedServer(t, func(c net.Conn, _ *http.Request, _ int64) {
+			_, _ = io.WriteString(c, full[:written])
+			c.Close()
+		})
+		direct := newTestServer(t, Route{Attempts: 1}, false, server.listener.Addr().String())
+		partitioned, peer := newPartitionedServer(t, Route{Attempts: 1}, server.listener.Addr().String())
+		for way, s := range map[string]*Server{"directly": direct, "by way of a peer": partitioned} {
+			for written = 1; written <= len(full); written++ {
+				// A failed attempt ejects the server, or the peer, for a moment only.
+				got := sendRequest(t, s, http.MethodGet, "request", "").Code
+				if success := got >= 200 && got < 300; success != (written == len(full)) {
+					t.Errorf("%s, %s: status %d after %d of %d bytes: %q", name, way, got, written, len(full), full[:written])
+				}
+			}
+		}
+		peer.Wait()
+		if got, want := server.requests.Load(), int64(2*len(full)); got != want {
+			t.Errorf("%s: the server got %d requests, want %d", name, got, want)
+		}
+	}
+}
--- a/router/direct/peers.go
+++ b/router/direct/peers.go
@@ -189,9 +189,9 @@
 	if refusal != nil && refusal.code == code.BackendUnreachable {
 		a.outcome, a.err = outcomeUnsent, errPeerRefused // it sent nothing to a backend server
 	}
-	sample := attemptSample{outcome: a.outcome, duration: a.duration, connLimited: a.connLimited}
-	if a.response != nil {
-		sample.status = a.response.status
+	sample := attemptSample{outcome: a.outcome, connLimited: a.connLimited}
+	if a.response != nil && a.outcome != outcomeUnsent {
+		sample.outcome = outcomeDone // the peer is sound, whatever a backend server responded
 	}
 	peer.attemptFinished(sample, a.dialTime, time.Now())
 	s.metrics.forwarded.Add(a.outcome.String(), 1)
