router/direct: a server that turns requests away is left alone for its time

A server that refuses a request with 503 may state in Retry-After for how long it takes nothing from the instance.

The time, in seconds with a fraction or as a date, keeps the instance from that server: first attempts, retries and waiting requests alike. Requests that any server may run go elsewhere. The return is spread over up to a tenth of the time and begins with one request at a time. The notice outlasts a lapsed record of its server. Logged as server-turns-away, published as servers-turning-away.

--- a/core/code/code.go
+++ b/core/code/code.go
@@ -112,7 +112,7 @@
 	{SlowCaller, NotRun, http.StatusRequestTimeout, "slow-caller", "The caller sent its body too slowly; nothing was passed on."},
 	{MarksFull, NotRun, http.StatusServiceUnavailable, "marks-full", "The dispatcher keeps as many start marks as it may, so no once-only request can start."},
 	{TooManyConnections, NotRun, http.StatusServiceUnavailable, "too-many-connections", "The entry has as many connections of callers open as it may have."},
-	{RateLimited, NotRun, http.StatusServiceUnavailable, "rate-limited", "The backend servers that could run the request have stated a rate limit that leaves no room for it at present."},
+	{RateLimited, NotRun, http.StatusServiceUnavailable, "rate-limited", "The backend servers that could run the request have stated that they take no more at present, by a rate limit or by turning requests away."},
 	{BackendReset, Unknown, http.StatusBadGateway, "backend-reset", "The connection broke after the first byte was sent."},
 	{BackendTimeout, Unknown, http.StatusGatewayTimeout, "backend-timeout", "The deadline passed after the first byte was sent."},
 	{DispatcherLost, Unknown, http.StatusBadGateway, "dispatcher-lost", "The dispatcher was lost after it took the request."},
--- a/router/direct/backend.go
+++ b/router/direct/backend.go
@@ -32,11 +32,11 @@
 		pool pool
 		peer bool // another instance
 
-		mu        sync.Mutex
-		load      serverLoad       // guarded by mu
-		health    health           // guarded by mu
-		rateLimit notice.RateLimit // guarded by mu
-		lastUsed  time.Time        // start of the last attempt; not read at present; guarded by mu
+		mu       sync.Mutex
+		load     serverLoad    // guarded by mu
+		health   health        // guarded by mu
+		notices  serverNotices // guarded by mu
+		lastUsed time.Time     // start of the last attempt; not read at present; guarded by mu
 
 		limitUnreadable atomic.Bool // a response with an unreadable rate limit was logged
 	}
@@ -101,6 +101,6 @@
 		backend: b, distance: info.Distance, slots: b.load.slotCount(info), activeRequests: b.load.activeRequests(now),
 		slowness: b.load.slowness(info.Cold), rtt: b.load.rtt(info.Distance),
 		failureRatio: b.health.recentFailureRatio(now), ejected: b.health.ejected(now),
-		limitWait: b.rateLimit.Wait(fleet, now),
+		noticeWait: b.notices.wait(fleet, b.load.inFlight, now),
 	}
 }
--- a/router/direct/demand.go
+++ b/router/direct/demand.go
@@ -103,7 +103,7 @@
 	out := map[string]float64{}
 	for _, b := range s.servers.Load().services[service] {
 		b.mu.Lock()
-		limit := b.rateLimit
+		limit := b.notices.rateLimit
 		b.mu.Unlock()
 		if limit.Rate() > 0 && now.Sub(limit.StatedAt()) < rateLimitReportTime {
 			out[b.info.Load().ID] = limit.Rate()
--- a/router/direct/exchange.go
+++ b/router/direct/exchange.go
@@ -112,7 +112,7 @@
 		responded            bool // the server sent bytes
 		closedBeforeResponse bool // the server closed or reset the connection before a complete response head
 		report               LoadReport
-		rateLimit            rateLimitStatement
+		notice               responseNotice
 		sentAt               time.Time     // before the request was written; zero if no connection was obtained
 		duration             time.Duration // from the request for a connection to the end of the attempt, without dialTime; 0 if no connection was obtained
 		dialTime             time.Duration // 0 if no connection was opened
@@ -338,7 +338,7 @@
 // request.
 func (s *Server) classifyResponse(resp *response, a *attemptResult) {
 	a.response = resp
-	defer func() { a.rateLimit = s.readRateLimit(resp, a.outcome) }()
+	defer func() { a.notice = s.readNotice(resp, a.outcome, time.Now()) }()
 	if v := resp.header.Get(s.protocol.Load); v != "" {
 		a.report = s.protocol.ParseLoad(v)
 	}
--- /dev/null
+++ b/router/direct/notices.go
@@ -0,0 +1,181 @@
+package direct
+
+import (
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"bronzewind.example/core/notice"
+	"bronzewind.example/core/ownership"
+)
+
+// formerNoticeTime is how long the notices of an unlisted server are kept for the case that
+// the same incarnation is listed again.
+const formerNoticeTime = time.Minute
+
+type (
+	// responseNotice is what a response states about its server, besides its load.
+	responseNotice struct {
+		rateLimit           notice.Statement
+		rateLimitKnown      bool  // the response tells whether the server has a limit
+		rateLimitUnreadable error // the response has a limit that can't be read
+
+		retryAfter time.Duration // with a refusal: time for which the server takes nothing from this instance; 0 if not stated
+	}
+
+	// serverNotices is what a server has stated in its responses to this instance.
+	serverNotices struct {
+		rateLimit  notice.RateLimit
+		turnedAway notice.TurnedAway
+	}
+
+	// formerNotices holds the notices of servers that are no longer listed. Entries that are
+	// older than formerNoticeTime are dropped when another one is added.
+	formerNotices map[ownership.Incarnation]formerNotice
+
+	formerNotice struct {
+		notices serverNotices
+		keptAt  time.Time
+	}
+)
+
+// keep stores the notices of a server that is no longer listed, if they still count.
+func (f formerNotices) keep(incarnation ownership.Incarnation, b *backend, now time.Time) {
+	b.mu.Lock()
+	notices := b.notices
+	b.mu.Unlock()
+	if _, away := notices.turnedAway.Until(now); !away && notices.rateLimit.Rate() == 0 {
+		return
+	}
+	maps.DeleteFunc(f, func(_ ownership.Incarnation, old formerNotice) bool { return now.Sub(old.keptAt) > formerNoticeTime })
+	f[incarnation] = formerNotice{notices: notices, keptAt: now}
+}
+
+// take returns the notices of a server that is listed again, and drops them. They are the
+// zero value if none are kept.
+func (f formerNotices) take(incarnation ownership.Incarnation) serverNotices {
+	notices := f[incarnation].notices
+	delete(f, incarnation)
+	return notices
+}
+
+// reserveSlot takes the next request that the server's rate limit leaves to this instance,
+// if it may be sent within maxWait, and returns the time until then. The second result is
+// false if nothing was taken, because the server takes nothing at present or the wait is
+// too long; it may be asked again after the time returned.
+func (b *backend) reserveSlot(fleet notice.Fleet, now time.Time, maxWait time.Duration) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if wait := b.notices.turnedAway.Wait(b.load.inFlight, now); wait > 0 {
+		return wait, false
+	}
+	return b.notices.rateLimit.Reserve(fleet, now, maxWait)
+}
+
+// returnSlot gives back what reserveSlot took, because nothing was sent.
+func (b *backend) returnSlot(fleet notice.Fleet) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.notices.rateLimit.Return(fleet)
+}
+
+// wait returns how long this instance must wait before the server takes another request;
+// inFlight is the number of its requests there.
+func (n *serverNotices) wait(fleet notice.Fleet, inFlight int, now time.Time) time.Duration {
+	return max(n.rateLimit.Wait(fleet, now), n.turnedAway.Wait(inFlight, now))
+}
+
+// readNotice returns what resp states. Only a server's complete response without a rate
+// limit states that there is none; a refusal need not repeat it.
+func (s *Server) readNotice(resp *response, outcome attemptOutcome, now time.Time) responseNotice {
+	var out responseNotice
+	if resp.status == http.StatusServiceUnavailable {
+		out.retryAfter = parseRetryAfter(resp.header.Get("Retry-After"), now)
+	}
+	v := resp.header.Get(s.protocol.RateLimit)
+	if v == "" {
+		out.rateLimitKnown = outcome == outcomeDone
+		return out
+	}
+	rate, err := s.protocol.ParseRateLimit(v)
+	out.rateLimit = notice.Statement{Rate: rate, Limited: true}
+	out.rateLimitKnown, out.rateLimitUnreadable = err == nil, err
+	return out
+}
+
+// parseRetryAfter returns the time in a Retry-After header, which holds seconds, here also
+// with a fraction, or a date. It is 0 if the header has neither, or a time that has passed.
+func parseRetryAfter(value string, now time.Time) time.Duration {
+	const longest = 24 * time.Hour
+	if date, err := http.ParseTime(value); err == nil {
+		return max(0, date.Sub(now))
+	}
+	seconds, err := strconv.ParseFloat(value, 64)
+	switch {
+	case err != nil || !(seconds > 0):
+		return 0
+	case seconds > longest.Seconds():
+		return longest
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// observeNotice records what the response of an attempt at b states.
+func (s *Server) observeNotice(b *backend, a attemptResult, now time.Time) {
+	n := a.notice
+	info := b.info.Load()
+	if err := n.rateLimitUnreadable; err != nil && !b.limitUnreadable.Swap(true) {
+		s.log.Limited("server-limit-unreadable", "server", info.ID, "reason", err.Error())
+	}
+	b.mu.Lock()
+	old, changed := b.notices.rateLimit.Rate(), false
+	if n.rateLimitKnown {
+		changed = b.notices.rateLimit.Observe(n.rateLimit, *s.fleet.Load(), a.sentAt, now)
+	}
+	switch {
+	case n.retryAfter > 0:
+		b.notices.turnedAway.Refused(n.retryAfter, rand.Float64(), now)
+	case a.outcome == outcomeDone:
+		b.notices.turnedAway.Taken(a.sentAt)
+	}
+	rate := b.notices.rateLimit.Rate()
+	b.mu.Unlock()
+	if changed {
+		s.log.Limited("server-limit", "server", info.ID, "service", info.Service, "limit", rate, "before", old, "instances", s.fleet.Load().Count)
+	}
+	if n.retryAfter > 0 {
+		s.log.Limited("server-turns-away", "server", info.ID, "service", info.Service, "retry-after-ms", n.retryAfter.Milliseconds())
+	}
+}
+
+// limitedServers returns the rate limits of the servers that state one, by server ID.
+func (s *Server) limitedServers() any {
+	out := map[string]float64{}
+	for incarnation, known := range s.servers.Load().incarnations {
+		known.backend.mu.Lock()
+		rate := known.backend.notices.rateLimit.Rate()
+		known.backend.mu.Unlock()
+		if rate > 0 {
+			out[incarnation.ID] = rate
+		}
+	}
+	return out
+}
+
+// serversTurningAway returns the milliseconds for which servers still take nothing from
+// this instance, by server ID.
+func (s *Server) serversTurningAway() any {
+	now := time.Now()
+	out := map[string]int64{}
+	for incarnation, known := range s.servers.Load().incarnations {
+		known.backend.mu.Lock()
+		until, away := known.backend.notices.turnedAway.Until(now)
+		known.backend.mu.Unlock()
+		if away {
+			out[incarnation.ID] = until.Sub(now).Milliseconds()
+		}
+	}
+	return out
+}
--- a/router/direct/rate_limit_test.go
+++ b/router/direct/notices_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -140,3 +141,80 @@
 		t.Errorf("(-want +got):\n%s", diff)
 	}
 }
+
+// TestServerThatTurnsAwayIsLeftAlone guards against a server that gets requests from an
+// instance which it has told when to come back. Requests that any server may run go to
+// another one; a request whose owner takes none is refused at once.
+func TestServerThatTurnsAwayIsLeftAlone(t *testing.T) {
+	const retryAfter = 700 * time.Millisecond
+	for _, exclusive := range []bool{false, true} {
+		var turning atomic.Bool
+		turning.Store(true)
+		away := newScriptedServer(t, func(c net.Conn, r *http.Request, _ int64) {
+			if turning.Load() {
+				writeTestResponse(c, 503, r.Header.Get("T-Id"), "", "T-Not-Run: 1", fmt.Sprintf("Retry-After: %.1f", retryAfter.Seconds()))
+				return
+			}
+			writeTestResponse(c, 200, r.Header.Get("T-Id"), "ok", "T-Signed: s")
+		})
+		good := newScriptedServer(t, func(c net.Conn, r *http.Request, _ int64) {
+			writeTestResponse(c, 200, r.Header.Get("T-Id"), "ok", "T-Signed: s")
+		})
+		s := newTestServer(t, Route{Attempts: 1}, exclusive, away.listener.Addr().String(), good.listener.Addr().String())
+		s.SetPartitionMap(ownership.PartitionMap{Service: "s", Version: 1, Epoch: 1, Fence: 1, Partitions: []ownership.Partition{
+			{Range: ownership.Range{To: ownership.KeyCount - 1}, Owner: ownership.Incarnation{ID: "i0", StartedMillis: 1}, Fence: 1},
+		}}, time.Now())
+		send := func(id string) *httptest.ResponseRecorder {
+			r := httptest.NewRequest(http.MethodPost, "http://h/x", nil)
+			r.Header.Set("T-Id", id)
+			r.Header.Set("T-Deadline", "500") // less than retryAfter, so that waiting is no use
+			r.Header.Set("T-Key", "7")
+			w := httptest.NewRecorder()
+			s.ServeHTTP(w, r)
+			return w
+		}
+		route, _ := s.routingTable.Load().Route("h", "/")
+		route.Target = 100 * time.Millisecond
+		for n := 0; away.requests.Load() == 0; n++ {
+			send(fmt.Sprint("first-", n))
+		}
+		end := time.Now().Add(retryAfter)
+		for n := range 20 {
+			start := time.Now()
+			w := send(fmt.Sprint("while-away-", n))
+			if exclusive && (w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" || time.Since(start) > retryAfter/2) {
+				t.Errorf("status %d and Retry-After %q after %v, want 503 at once and a time", w.Code, w.Header().Get("Retry-After"), time.Since(start))
+			}
+			if !exclusive && w.Code != http.StatusOK {
+				t.Errorf("status %d, want 200 from the other server", w.Code)
+			}
+		}
+		if n := away.requests.Load(); n > 1 && time.Now().Before(end) {
+			t.Errorf("exclusive=%v: %d requests, want 1 until %v have passed", exclusive, n, retryAfter)
+		}
+		turning.Store(false)
+		<-time.After(time.Until(end) + retryAfter/10 + 10*time.Millisecond)
+		for n := 0; n < 20 && away.requests.Load() < 5; n++ {
+			send(fmt.Sprint("back-", n))
+		}
+		if n := away.requests.Load(); exclusive && n < 3 { // else the other server is still preferred
+			t.Errorf("exclusive=%v: %d requests when the time had passed, want the server in use again", exclusive, n)
+		}
+	}
+}
+
+// TestRetryAfterValues checks each form that the header may have.
+func TestRetryAfterValues(t *testing.T) {
+	now := time.Date(2026, 12, 5, 10, 0, 0, 0, time.UTC)
+	got := map[string]time.Duration{}
+	for _, v := range []string{"", "2", "0.25", "0", "-1", "NaN", "Inf", "1e300", "soon", "Sat, 05 Dec 2026 10:00:03 GMT", "Sat, 05 Dec 2026 09:00:00 GMT"} {
+		got[v] = parseRetryAfter(v, now)
+	}
+	want := map[string]time.Duration{
+		"": 0, "2": 2 * time.Second, "0.25": 250 * time.Millisecond, "0": 0, "-1": 0, "NaN": 0, "Inf": 24 * time.Hour, "1e300": 24 * time.Hour, "soon": 0,
+		"Sat, 05 Dec 2026 10:00:03 GMT": 3 * time.Second, "Sat, 05 Dec 2026 09:00:00 GMT": 0,
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
--- a/router/direct/request_log.go
+++ b/router/direct/request_log.go
@@ -89,7 +89,7 @@
 	}
 	if c := state.rejected; c != nil && fail != nil && (fail.code == code.TargetUnreachable || fail.code == code.RateLimited) {
 		attributes = append(attributes, "server", c.backend.info.Load().ID, "server-load", math.Round(c.activeRequests), "server-slots", c.slots,
-			"server-slowness", math.Round(100*c.slowness)/100, "expected-ms", state.expectedTime.Milliseconds(), "target-left-ms", state.timeToTarget.Milliseconds(), "limit-wait-ms", c.limitWait.Milliseconds())
+			"server-slowness", math.Round(100*c.slowness)/100, "expected-ms", state.expectedTime.Milliseconds(), "target-left-ms", state.timeToTarget.Milliseconds(), "notice-wait-ms", c.noticeWait.Milliseconds())
 	}
 	if key, ok := s.exclusiveKey(r, state.service); ok {
 		attributes = append(attributes, s.ownershipAttributes(state.service, key)...)
--- a/router/direct/selection.go
+++ b/router/direct/selection.go
@@ -39,7 +39,7 @@
 		rtt            time.Duration
 		failureRatio   float64       // of recent attempts
 		ejected        bool          // used only if no other server is available
-		limitWait      time.Duration // until the server's rate limit leaves room for a request of this instance; used last while above 0
+		noticeWait     time.Duration // until the server takes another request of this instance, as it has stated; used last while above 0
 	}
 
 	// requestProfile holds the properties of a request that server selection uses.
@@ -81,7 +81,7 @@
 	var inTimeCost, cheapestCost time.Duration
 	for i := range cs {
 		c := &cs[i]
-		if c.ejected || c.limitWait > 0 || profile.bulk && c.distance == OtherRegion || wasAttempted(attempted, c.backend) {
+		if c.ejected || c.noticeWait > 0 || profile.bulk && c.distance == OtherRegion || wasAttempted(attempted, c.backend) {
 			continue
 		}
 		cost := c.cost(profile)
@@ -98,16 +98,16 @@
 	return cheapest
 }
 
-// earliestByRateLimit returns the server whose rate limit leaves room first; nil if there is
-// none. Servers in attempted are left out.
-func earliestByRateLimit(cs []candidate, profile requestProfile, attempted []*backend) *candidate {
+// earliestByNotice returns the server that takes another request first, as the servers have
+// stated; nil if there is none. Servers in attempted are left out.
+func earliestByNotice(cs []candidate, profile requestProfile, attempted []*backend) *candidate {
 	var soonest *candidate
 	for i := range cs {
 		c := &cs[i]
 		if profile.bulk && c.distance == OtherRegion || wasAttempted(attempted, c.backend) {
 			continue
 		}
-		if soonest == nil || c.limitWait < soonest.limitWait {
+		if soonest == nil || c.noticeWait < soonest.noticeWait {
 			soonest = c
 		}
 	}
--- a/router/direct/server.go
+++ b/router/direct/server.go
@@ -52,8 +52,8 @@
 		servers          atomic.Pointer[serverSnapshot]
 		ownership        atomic.Pointer[map[string]*ownershipSnapshot] // by service
 		fleet            atomic.Pointer[notice.Fleet]
-		formerLimits     formerLimits // used by SetServers alone
-		closeCallerConns atomic.Bool  // responses ask callers to close their connections
+		formerNotices    formerNotices // used by SetServers alone
+		closeCallerConns atomic.Bool   // responses ask callers to close their connections
 		stop             atomic.Pointer[plannedStop]
 		crashChecks      sync.WaitGroup
 		responseMemory   memoryBudget
@@ -128,7 +128,7 @@
 func NewServer(d Protocol, log *oplog.Log, options ...Option) *Server {
 	s := &Server{
 		protocol: d, log: log, metrics: newMetrics(), splitter: newSplitter(), suspects: newSuspects(),
-		typicalDurations: newTypicalDurations(), demand: newDemandCounter(), reachability: newReachability(), peers: peers{serving: make(chan struct{}, maxForwardedRequests), reached: map[string]reachingPeer{}}, formerLimits: formerLimits{}, onCrash: func(Fingerprint) {},
+		typicalDurations: newTypicalDurations(), demand: newDemandCounter(), reachability: newReachability(), peers: peers{serving: make(chan struct{}, maxForwardedRequests), reached: map[string]reachingPeer{}}, formerNotices: formerNotices{}, onCrash: func(Fingerprint) {},
 		retryBudget: newRetryBudget(RetryBudgetLimits{Ratio: 0.1, Slack: 10, Window: 10 * time.Second}), // default; replaced by WithRetryBudget or SetRetryBudgetLimits
 		changed:     make(chan struct{}),
 	}
@@ -136,6 +136,7 @@
 	s.ownership.Store(&map[string]*ownershipSnapshot{})
 	s.fleet.Store(&notice.Fleet{Count: 1})
 	s.metrics.all.Set("servers-limited", expvar.Func(s.limitedServers))
+	s.metrics.all.Set("servers-turning-away", expvar.Func(s.serversTurningAway))
 	s.responseMemory.limit = defaultResponseMemory
 	for _, o := range options {
 		o(s)
@@ -316,15 +317,15 @@
 			state.reserved = nil
 			return b, nil
 		}
-		wait, ok := b.reserveSlot(*s.fleet.Load(), time.Now(), maxWait)
+		wait, reserved := b.reserveSlot(*s.fleet.Load(), time.Now(), maxWait)
 		switch {
-		case !ok:
-			return nil, newFailure(code.RateLimited, wait, time.Until(r.deadline))
-		case wait == 0:
+		case reserved && wait == 0:
 			return b, nil
+		case reserved:
+			state.reserved = b // unless the key moves to another server in the meantime
+		case wait > maxWait:
+			return nil, newFailure(code.RateLimited, wait, time.Until(r.deadline))
 		}
-		// The key may move to another server in the meantime.
-		state.reserved = b
 		if !waitForChange(ctx, nil, wait) {
 			return nil, newFailure(code.CancelledInQueue, 0, 0)
 		}
@@ -332,7 +333,7 @@
 }
 
 // findServer returns the server for the next attempt of r, and how long the attempt may
-// wait for the server's rate limit, or the failure if r can't be sent.
+// wait until the server takes more, or the failure if r can't be sent.
 func (s *Server) findServer(ctx context.Context, r *request, state *requestState) (*backend, time.Duration, *requestFailure) {
 	now := time.Now()
 	remaining := r.deadline.Sub(now)
@@ -407,7 +408,7 @@
 // selectAnyServer selects a server for a request that any server of the service
 // may run: the one with a slot reserved for the request, if it is still listed. If no
 // server is available, it also considers ejected servers, then servers in other regions
-// for a bulk request, and at last those whose rate limit leaves no room at present.
+// for a bulk request, and at last those that have stated that they take no more at present.
 func (s *Server) selectAnyServer(profile requestProfile, timeToTarget time.Duration, state *requestState, now time.Time) *candidate {
 	servers := s.servers.Load().services[state.service]
 	cs := make([]candidate, 0, len(servers))
@@ -432,7 +433,7 @@
 	if c := selectServer(cs, anywhere, timeToTarget, state.attempted); c != nil {
 		return c
 	}
-	return earliestByRateLimit(cs, profile, state.attempted)
+	return earliestByNotice(cs, profile, state.attempted)
 }
 
 // attempt sends r to b once and records the result.
@@ -452,7 +453,7 @@
 		sample.status = a.response.status
 	}
 	slowness := b.attemptFinished(sample, a.dialTime, now)
-	s.observeRateLimit(b, a, now)
+	s.observeNotice(b, a, now)
 	s.reachability.observe(b, a)
 	// If requests wait at the server, the duration may include such a wait.
 	if a.outcome == outcomeDone && sample.status < 500 && a.report.Valid && a.report.Waiting == 0 {
--- a/router/direct/snapshots.go
+++ b/router/direct/snapshots.go
@@ -68,7 +68,7 @@
 			known.backend.info.Store(&info)
 		} else {
 			known.backend = newBackend(listed, s.dial)
-			known.backend.rateLimit = s.formerLimits.take(listed.Incarnation)
+			known.backend.notices = s.formerNotices.take(listed.Incarnation)
 		}
 		switch {
 		case !listed.Leaving:
@@ -105,7 +105,7 @@
 			continue
 		}
 		known.backend.pool.close()
-		s.formerLimits.keep(incarnation, known.backend, now)
+		s.formerNotices.keep(incarnation, known.backend, now)
 	}
 }
 
