--- a/router/datagram/datagram.go
+++ b/router/datagram/datagram.go
@@ -55,6 +55,14 @@
 
 		AsksReach bool   `cbor:"10,keyasint,omitempty"` // the sender asks for Reach
 		Reach     *Reach `cbor:"11,keyasint,omitempty"`
+
+		LeavingServers []Incarnation `cbor:"12,keyasint,omitempty"` // backend servers that have stated lately that they shut down
+	}
+
+	// Incarnation names one start of a backend server.
+	Incarnation struct {
+		ID            string `cbor:"1,keyasint"`
+		StartedMillis int64  `cbor:"2,keyasint"` // Unix milliseconds
 	}
 
 	// Reach says whether the sender reaches backend servers.
--- a/router/direct/backend.go
+++ b/router/direct/backend.go
@@ -39,6 +39,7 @@
 		lastUsed time.Time     // start of the last attempt; not read at present; guarded by mu
 
 		limitUnreadable atomic.Bool // a response with an unreadable rate limit was logged
+		statedLeaving   atomic.Bool // a response stated that the server is shutting down
 	}
 )
 
--- a/router/direct/exchange.go
+++ b/router/direct/exchange.go
@@ -63,6 +63,7 @@
 		Signature      string // set by the server on every 2xx response
 		NotRun         string // marks a refusal before the request was started
 		Load           string // load report of the server, see ParseLoad
+		Leaving        string // marks the responses of a server that is shutting down
 		RateLimit      string // requests a second that the server takes from all instances together, see ParseRateLimit
 		// ParseLoad parses the value of the Load header.
 		ParseLoad func(string) LoadReport
--- a/router/direct/notices.go
+++ b/router/direct/notices.go
@@ -11,9 +11,13 @@
 	"bronzewind.example/core/ownership"
 )
 
-// formerNoticeTime is how long the notices of an unlisted server are kept for the case that
-// the same incarnation is listed again.
-const formerNoticeTime = time.Minute
+const (
+	// formerNoticeTime is how long the notices of an unlisted server are kept for the case
+	// that the same incarnation is listed again.
+	formerNoticeTime = time.Minute
+
+	leavingValue = "1" // of the header Protocol.Leaving
+)
 
 type (
 	// responseNotice is what a response states about its server, besides its load.
@@ -22,6 +26,7 @@
 		rateLimitKnown      bool  // the response tells whether the server has a limit
 		rateLimitUnreadable error // the response has a limit that can't be read
 
+		leaving    bool          // the server is shutting down
 		retryAfter time.Duration // with a refusal: time for which the server takes nothing from this instance; 0 if not stated
 	}
 
@@ -90,7 +95,7 @@
 // readNotice returns what resp states. Only a server's complete response without a rate
 // limit states that there is none; a refusal need not repeat it.
 func (s *Server) readNotice(resp *response, outcome attemptOutcome, now time.Time) responseNotice {
-	var out responseNotice
+	out := responseNotice{leaving: resp.header.Get(s.protocol.Leaving) == leavingValue}
 	if resp.status == http.StatusServiceUnavailable {
 		out.retryAfter = parseRetryAfter(resp.header.Get("Retry-After"), now)
 	}
@@ -129,6 +134,10 @@
 	if err := n.rateLimitUnreadable; err != nil && !b.limitUnreadable.Swap(true) {
 		s.log.Limited("server-limit-unreadable", "server", info.ID, "reason", err.Error())
 	}
+	if n.leaving && !b.statedLeaving.Swap(true) {
+		s.log.Limited("server-leaving", "server", info.ID, "service", info.Service, "listed-as-leaving", info.Leaving)
+		s.onLeaving(info.Incarnation)
+	}
 	b.mu.Lock()
 	old, changed := b.notices.rateLimit.Rate(), false
 	if n.rateLimitKnown {
--- a/router/direct/server.go
+++ b/router/direct/server.go
@@ -44,6 +44,7 @@
 		typicalDurations *typicalDurations
 		demand           *demandCounter
 		onCrash          func(Fingerprint)
+		onLeaving        func(ownership.Incarnation)
 		reachability     *reachability
 		peers            peers
 		dial             tcp.DialFunc // to backend servers; nil means Dial
@@ -118,6 +119,12 @@
 	return func(s *Server) { s.onCrash = onCrash }
 }
 
+// WithLeavingHandler sets the function that is called when a server first states in a
+// response that it is shutting down. The function must list the server as leaving.
+func WithLeavingHandler(onLeaving func(ownership.Incarnation)) Option {
+	return func(s *Server) { s.onLeaving = onLeaving }
+}
+
 // WithDial sets how connections to backend servers are opened.
 func WithDial(dial tcp.DialFunc) Option {
 	return func(s *Server) { s.dial = dial }
@@ -128,7 +135,7 @@
 func NewServer(d Protocol, log *oplog.Log, options ...Option) *Server {
 	s := &Server{
 		protocol: d, log: log, metrics: newMetrics(), splitter: newSplitter(), suspects: newSuspects(),
-		typicalDurations: newTypicalDurations(), demand: newDemandCounter(), reachability: newReachability(), peers: peers{serving: make(chan struct{}, maxForwardedRequests), reached: map[string]reachingPeer{}}, formerNotices: formerNotices{}, onCrash: func(Fingerprint) {},
+		typicalDurations: newTypicalDurations(), demand: newDemandCounter(), reachability: newReachability(), peers: peers{serving: make(chan struct{}, maxForwardedRequests), reached: map[string]reachingPeer{}}, formerNotices: formerNotices{}, onCrash: func(Fingerprint) {}, onLeaving: func(ownership.Incarnation) {},
 		retryBudget: newRetryBudget(RetryBudgetLimits{Ratio: 0.1, Slack: 10, Window: 10 * time.Second}), // default; replaced by WithRetryBudget or SetRetryBudgetLimits
 		changed:     make(chan struct{}),
 	}
