--- a/router/direct/reachability.go
+++ b/router/direct/reachability.go
@@ -107,19 +107,28 @@
 		select {
 		case <-ctx.Done():
 		case now := <-ticker.C:
-			servers := s.listedServers()
-			due := s.reachability.suspicious(len(servers)) || s.reachability.partitioned() && now.Sub(checkedAt) >= checkInterval
-			if !due || len(servers) == 0 {
+			listed := s.serverCount()
+			due := s.reachability.suspicious(listed) || s.reachability.partitioned() && now.Sub(checkedAt) >= checkInterval
+			if !due || listed == 0 {
 				continue
 			}
 			checkedAt = now
 			askPeers()
-			s.checkReachability(ctx, servers)
+			s.checkReachability(ctx, s.listedServers())
 		}
 	}
 	done <- nil
 }
 
+// serverCount returns the number of servers that get new requests.
+func (s *Server) serverCount() int {
+	n := 0
+	for _, servers := range s.servers.Load().services {
+		n += len(servers)
+	}
+	return n
+}
+
 // listedServers returns the servers that get new requests.
 func (s *Server) listedServers() []*backend {
 	var out []*backend
--- a/router/direct/server.go
+++ b/router/direct/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"expvar"
 	"io"
 	"net"
@@ -66,12 +65,6 @@
 	// Option configures a Server at its construction.
 	Option func(*Server)
 
-	// plannedStop is the end of a planned stop.
-	plannedStop struct {
-		lateFrom time.Time // requests that arrive later are taken only if their deadline is before end
-		end      time.Time // every request is answered by then
-	}
-
 	// requestFailure is the result of a request for which the instance has no
 	// response of a backend server to forward. Depending on its code, the request
 	// may have run.
@@ -151,31 +144,6 @@
 	return s
 }
 
-// CloseCallerConnections makes all further responses ask callers to close their connections,
-// so that they connect to another instance.
-func (s *Server) CloseCallerConnections() { s.closeCallerConns.Store(true) }
-
-// PrepareStop tells that the instance closes all connections soon after end. Requests that
-// arrive after lateFrom and have more time than that are refused, and all others are
-// answered by end.
-func (s *Server) PrepareStop(lateFrom, end time.Time) {
-	s.stop.Store(&plannedStop{lateFrom: lateFrom, end: end})
-}
-
-// admitDuringStop refuses r if it may not end before the instance stops, and bounds its
-// deadline otherwise.
-func (s *Server) admitDuringStop(r *request, now time.Time) *requestFailure {
-	stop := s.stop.Load()
-	switch {
-	case stop == nil || !r.deadline.After(stop.end):
-		return nil
-	case now.After(stop.lateFrom):
-		return newFailure(code.Draining, minRetryAfter, r.deadline.Sub(now))
-	}
-	r.deadline = stop.end
-	return nil
-}
-
 // RecordCrash counts a crash that another instance reported.
 func (s *Server) RecordCrash(f Fingerprint) { s.suspects.recordCrash(f, time.Now()) }
 
@@ -556,61 +524,3 @@
 		s.log.Limited("server-crashed", "server", info.ID, "service", info.Service, "fingerprint", uint64(fp), "crashes", n)
 	})
 }
-
-// writeFailure writes fail to the caller and returns the HTTP status.
-func (s *Server) writeFailure(w http.ResponseWriter, r *request, fail *requestFailure) int {
-	status := fail.code.Status()
-	// Callers take 503, unlike the other 5xx statuses and 422, as a guarantee that
-	// the request was not run.
-	if fail.code.Outcome() == code.NotRun && status >= 500 || fail.code == code.Quarantined {
-		status = http.StatusServiceUnavailable
-	}
-	h := w.Header()
-	if r.id != "" {
-		h.Set(s.protocol.RequestID, r.id)
-	}
-	h.Set(code.Header, strconv.Itoa(int(fail.code)))
-	if r.forwarded && fail.code.Outcome() == code.NotRun {
-		h.Set(s.protocol.NotRun, "1")
-	}
-	h.Set("Content-Length", "0")
-	if fail.retryAfter > 0 && status == http.StatusServiceUnavailable {
-		// Seconds with three decimals, where HTTP defines whole seconds.
-		h.Set("Retry-After", strconv.FormatFloat(fail.retryAfter.Seconds(), 'f', 3, 64))
-	}
-	w.WriteHeader(status)
-	return status
-}
-
-// writeResponse forwards a backend server's response to the caller.
-func (s *Server) writeResponse(w http.ResponseWriter, resp *response) {
-	h := w.Header()
-	connection := h.Get("Connection") // set when callers are asked to close their connections
-	removeHopHeaders(resp.header)
-	for name, values := range resp.header {
-		h[name] = values
-	}
-	if connection != "" {
-		h.Set("Connection", connection)
-	}
-	if !resp.bodiless { // else the length that the server announced stays
-		h.Set("Content-Length", strconv.Itoa(len(resp.body)))
-	}
-	w.WriteHeader(resp.status)
-	if _, err := w.Write(resp.body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
-		s.metrics.undelivered.Add(1)
-	}
-}
-
-// hopHeaders are the hop-by-hop headers and Expect, which are not forwarded.
-// Expect has no effect any more, because the instance has read the whole body.
-var hopHeaders = []string{
-	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-func removeHopHeaders(h http.Header) {
-	for _, name := range hopHeaders {
-		delete(h, name)
-	}
-}
