--- a/router/datagram/datagram.go
+++ b/router/datagram/datagram.go
@@ -1,5 +1,6 @@
-// Package datagram carries small messages between instances that may be lost:
-// the demand for keys, and requests that took a backend server down.
+// Package datagram sends small messages between instances over UDP, which may lose them:
+// the demand for keys, records of the store, the status of the granter, and what instances
+// have learnt of backend servers.
 package datagram
 
 import (
@@ -32,15 +33,14 @@
 	maxUnpacked = 256 << 10
 )
 
-// The first byte of a datagram says how the rest is written.
+// The first byte of a datagram is the encoding of the rest.
 const (
 	plain byte = iota
 	packed
 )
 
 type (
-	// Message is what one instance tells another; fields that are empty say
-	// nothing.
+	// Message is one datagram between two instances. Empty fields carry no information.
 	Message struct {
 		From    string   `cbor:"1,keyasint"`
 		Demand  []Demand `cbor:"2,keyasint,omitempty"`
@@ -65,17 +65,17 @@
 		StartedMillis int64  `cbor:"2,keyasint"` // Unix milliseconds
 	}
 
-	// Reach says whether the sender reaches backend servers.
+	// Reach reports whether the sender reaches backend servers.
 	Reach struct {
 		Servers       bool   `cbor:"1,keyasint"`
 		FailureDomain string `cbor:"2,keyasint"` // of the sender
 	}
 
-	// End says how far a topic of the store goes, as the sender knows it.
+	// End is the end of a topic of the store, as the sender knows it.
 	End struct {
 		Topic string `cbor:"1,keyasint"`
 		End   uint64 `cbor:"2,keyasint"`           // offset after the last record
-		AgeMs int64  `cbor:"3,keyasint"`           // since the store said so
+		AgeMs int64  `cbor:"3,keyasint"`           // since the store reported End
 		Era   uint64 `cbor:"4,keyasint,omitempty"` // of the store in which End is an offset
 	}
 
@@ -91,13 +91,13 @@
 		Era       uint64 `cbor:"7,keyasint,omitempty"` // of the store in which Offset is an offset
 	}
 
-	// Resigned says that the granter of an epoch has stopped.
+	// Resigned reports that the granter of an epoch has stopped.
 	Resigned struct {
 		Epoch                 uint64 `cbor:"1,keyasint"`
 		SinceLastUnansweredMs int64  `cbor:"2,keyasint"` // since the last grant that was not answered
 	}
 
-	// Granted says that the owner of a range has taken its grant.
+	// Granted reports that the owner of a range has accepted its grant.
 	Granted struct {
 		Service string `cbor:"1,keyasint"`
 		From    uint32 `cbor:"2,keyasint"`
@@ -230,8 +230,8 @@
 	return m, cbor.Unmarshal(rest, &m)
 }
 
-// Run hands received messages to take until ctx ends; ones that can't be read
-// are left out. It closes the bus and reports its end on done.
+// Run calls take with each received message until ctx ends; datagrams that can't be decoded
+// are ignored. It closes the bus and reports its end on done.
 func (b *Bus) Run(ctx context.Context, take func(Message), done chan<- error) {
 	stop := context.AfterFunc(ctx, func() { _ = b.conn.Close() })
 	defer stop()
@@ -254,7 +254,7 @@
 	}
 }
 
-// PackDemand makes a message of d.
+// PackDemand returns d as it is sent.
 func PackDemand(service string, d ownership.Demand) Demand {
 	const tenths = 10
 	out := Demand{Service: service, Buckets: map[uint16]uint32{}}
@@ -270,8 +270,7 @@
 	return out
 }
 
-// Unpack returns the demand in requests a second; what is out of range is left
-// out.
+// Unpack returns the demand in requests a second, without keys and buckets out of range.
 func (d Demand) Unpack() ownership.Demand {
 	const tenths = 10
 	var out ownership.Demand
