router/direct: the loss of most servers is no partition

The check of an instance's own links drew its four servers at random. With most of the servers lost, it could draw only lost ones and take the instance for partitioned until the next checks.

Servers that have not failed lately are drawn first. TestLossOfManyServersIsNoPartition: 30 of 31 servers lost; with a random draw the sound one is among the four in 13 of 100 cases, now always.

--- a/router/direct/reachability.go
+++ b/router/direct/reachability.go
@@ -63,6 +63,23 @@
 	return len(r.unanswered) >= enough || len(r.undialed) >= enough
 }
 
+// soundFirst returns servers with those that have not failed lately first.
+func (r *reachability) soundFirst(servers []*backend) []*backend {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var sound, failing []*backend
+	for _, b := range servers {
+		_, unanswered := r.unanswered[b]
+		_, undialed := r.undialed[b]
+		if unanswered || undialed {
+			failing = append(failing, b)
+		} else {
+			sound = append(sound, b)
+		}
+	}
+	return append(sound, failing...)
+}
+
 // partitioned reports whether no server is reachable.
 func (r *reachability) partitioned() bool {
 	r.mu.Lock()
@@ -138,11 +155,11 @@
 	return out
 }
 
-// checkReachability opens connections to a few of the servers at once and draws the
-// conclusion.
+// checkReachability opens connections to a few of the servers at once, if possible to some
+// that have not failed, and draws the conclusion.
 func (s *Server) checkReachability(ctx context.Context, servers []*backend) {
 	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
-	servers = servers[:min(checkedServers, len(servers))]
+	servers = s.reachability.soundFirst(servers)[:min(checkedServers, len(servers))]
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	results := make(chan bool, len(servers))
--- a/router/direct/reachability_test.go
+++ b/router/direct/reachability_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"testing"
@@ -11,6 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"bronzewind.example/core/oplog"
+	"bronzewind.example/core/ownership"
 )
 
 // TestSuspicionNeedsSeveralServersInARow guards against an instance that takes a crashed or
@@ -88,3 +90,28 @@
 		t.Error("partitioned although no other instance reaches servers any more")
 	}
 }
+
+// TestLossOfManyServersIsNoPartition guards against an instance that takes the loss of most
+// servers for the loss of its own links, because it looks only at servers that are lost.
+func TestLossOfManyServersIsNoPartition(t *testing.T) {
+	const lost = 30
+	sound := listen(t)
+	s := newTestServer(t, Route{Attempts: 1}, false)
+	var list []ServerInfo
+	for n := range lost {
+		list = append(list, ServerInfo{Incarnation: ownership.Incarnation{ID: fmt.Sprint("lost-", n)}, Service: "s", Address: "127.0.0.1:1"})
+	}
+	s.SetServers(append(list, ServerInfo{Incarnation: ownership.Incarnation{ID: "sound"}, Service: "s", Address: sound}), time.Now())
+	for _, b := range s.listedServers() {
+		if b.info.Load().ID != "sound" {
+			s.reachability.observe(b, attemptResult{outcome: outcomeUnsent})
+		}
+	}
+	if !s.reachability.suspicious(s.serverCount()) {
+		t.Fatalf("%d lost servers raise no suspicion", lost)
+	}
+	s.checkReachability(t.Context(), s.listedServers())
+	if !s.ReachesServers() {
+		t.Error("partitioned although one server accepts connections")
+	}
+}
