--- a/router/direct/peers_test.go
+++ b/router/direct/peers_test.go
@@ -143,3 +143,34 @@
 		t.Errorf("status %d from a peer with room, want 200", w.Code)
 	}
 }
+
+// TestDepartureOfCallerReachesServer guards against servers that work on for callers of a
+// partitioned instance who have left. An idempotent request is cancelled at the server.
+func TestDepartureOfCallerReachesServer(t *testing.T) {
+	const noticed = 500 * time.Millisecond
+	arrived, closed := make(chan struct{}), make(chan struct{})
+	server := newScriptedServer(t, func(c net.Conn, _ *http.Request, _ int64) {
+		close(arrived)
+		_, _ = c.Read(make([]byte, 1)) // until the connection is closed
+		close(closed)
+	})
+	s, peer := newPartitionedServer(t, Route{Attempts: 1, Idempotent: true}, server.listener.Addr().String())
+	ctx, leave := context.WithCancel(t.Context())
+	r := httptest.NewRequest(http.MethodGet, "http://h/x", nil).WithContext(ctx)
+	r.Header.Set("T-Id", "request")
+	r.Header.Set("T-Deadline", "20000")
+	ended := make(chan struct{})
+	go func() {
+		s.ServeHTTP(httptest.NewRecorder(), r)
+		close(ended)
+	}()
+	<-arrived
+	leave()
+	select {
+	case <-closed:
+	case <-time.After(noticed):
+		t.Errorf("the server still works %v after the caller has left", noticed)
+	}
+	<-ended
+	peer.Wait()
+}
