router/direct: only a success ends a server's rate limit

A response without the header ended the limit, also one with the server's own failure. A server in need may leave the header out of a failure; the instance would have sent without a limit until the next response with it.

TestLimitEndsWithSuccessOnly takes the place of TestUnreadableLimitIsIgnored and checks the same and this: before, the limit ended with a 500. Some comments say plainly what they said with verbs of speech.

--- a/core/notice/rate_limit.go
+++ b/core/notice/rate_limit.go
@@ -50,7 +50,7 @@
 	}
 )
 
-// Observe takes account of the response to a request sent at sentAt, and reports whether
+// Observe records the response to a request sent at sentAt, and reports whether
 // the limit has changed. A response to an earlier request than the newest one observed has
 // no effect, since responses may overtake one another.
 func (l *RateLimit) Observe(s Statement, fleet Fleet, sentAt, now time.Time) bool {
--- a/core/notice/turned_away.go
+++ b/core/notice/turned_away.go
@@ -17,15 +17,15 @@
 	returnInterval = 50 * time.Millisecond
 )
 
-// TurnedAway is the time for which a backend server has told an instance to send nothing.
-// The zero value is a server that has not. When the time has passed, the instance sends one
-// request at a time until the server has taken one.
+// TurnedAway is the time for which a backend server takes nothing from an instance, as it has
+// stated. The zero value is a server that has stated no such time. When the time has passed,
+// the instance sends one request at a time until the server has taken one.
 type TurnedAway struct {
 	until     time.Time
 	returning bool // the server has taken no request since until
 }
 
-// Refused takes account of a refusal received at now that tells the instance to come back
+// Refused records a refusal received at now that asks the instance to come back
 // after retryAfter. spread, from 0 to 1, sets how much later it comes back.
 func (t *TurnedAway) Refused(retryAfter time.Duration, spread float64, now time.Time) {
 	if retryAfter <= 0 {
@@ -39,7 +39,7 @@
 	t.returning = true
 }
 
-// Taken takes account of the response to a request that the server took and that was sent
+// Taken records the response to a request that the server took and that was sent
 // at sentAt.
 func (t *TurnedAway) Taken(sentAt time.Time) {
 	if sentAt.After(t.until) {
--- a/router/direct/notices.go
+++ b/router/direct/notices.go
@@ -23,7 +23,7 @@
 	// responseNotice is what a response states about its server, besides its load.
 	responseNotice struct {
 		rateLimit           notice.Statement
-		rateLimitKnown      bool  // the response tells whether the server has a limit
+		rateLimitKnown      bool  // the response shows whether the server has a limit
 		rateLimitUnreadable error // the response has a limit that can't be read
 
 		leaving    bool          // the server is shutting down
@@ -92,8 +92,8 @@
 	return max(n.rateLimit.Wait(fleet, now), n.turnedAway.Wait(inFlight, now))
 }
 
-// readNotice returns what resp states. Only a server's complete response without a rate
-// limit states that there is none; a refusal need not repeat it.
+// readNotice returns what resp states. Only a success without a rate limit states that there
+// is none; a failing server may leave the header out.
 func (s *Server) readNotice(resp *response, outcome attemptOutcome, now time.Time) responseNotice {
 	out := responseNotice{leaving: resp.header.Get(s.protocol.Leaving) == leavingValue}
 	if resp.status == http.StatusServiceUnavailable {
@@ -101,7 +101,7 @@
 	}
 	v := resp.header.Get(s.protocol.RateLimit)
 	if v == "" {
-		out.rateLimitKnown = outcome == outcomeDone
+		out.rateLimitKnown = outcome == outcomeDone && resp.status < 300
 		return out
 	}
 	rate, err := s.protocol.ParseRateLimit(v)
--- a/router/direct/notices_test.go
+++ b/router/direct/notices_test.go
@@ -101,20 +101,24 @@
 	}
 }
 
-// TestUnreadableLimitIsIgnored checks that a limit that is no number neither becomes a
-// limit nor ends one.
-func TestUnreadableLimitIsIgnored(t *testing.T) {
-	limits := []string{"x", "4.5", "many"}
+// TestLimitEndsWithSuccessOnly guards against a limit that ends although the server still
+// needs it, because a value can't be read or a failure does not repeat it.
+func TestLimitEndsWithSuccessOnly(t *testing.T) {
+	responses := []struct {
+		status int
+		header string
+	}{{200, "T-Limit: x"}, {200, "T-Limit: 4.5"}, {200, "T-Limit: many"}, {500, "T-Other: 1"}, {503, "T-Not-Run: 1"}, {200, "T-Other: 1"}}
 	server := newScriptedServer(t, func(c net.Conn, r *http.Request, n int64) {
-		writeTestResponse(c, 200, r.Header.Get("T-Id"), "ok", "T-Signed: s", "T-Limit: "+limits[n-1])
+		writeTestResponse(c, responses[n-1].status, r.Header.Get("T-Id"), "ok", "T-Signed: s", responses[n-1].header)
 	})
 	s := newTestServer(t, Route{Attempts: 1}, false, server.listener.Addr().String())
 	var got []any
-	for n := range limits {
-		sendRequest(t, s, http.MethodGet, fmt.Sprint("request-", n), "")
+	for n := range responses {
+		sendRequest(t, s, http.MethodPost, fmt.Sprint("request-", n), "")
 		got = append(got, s.limitedServers())
 	}
-	want := []any{map[string]float64{}, map[string]float64{"i0": 4.5}, map[string]float64{"i0": 4.5}}
+	none, limit := map[string]float64{}, map[string]float64{"i0": 4.5}
+	want := []any{none, limit, limit, limit, limit, none}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("(-want +got):\n%s", diff)
 	}
--- a/router/direct/peers.go
+++ b/router/direct/peers.go
@@ -31,7 +31,7 @@
 var errPeerRefused = errors.New("the other instance could not send the request to a backend server either")
 
 type (
-	// requestOrigin tells where a request comes from.
+	// requestOrigin is where a request comes from.
 	requestOrigin struct {
 		callerIP  string
 		forwarded bool // by another instance
--- a/router/direct/stop.go
+++ b/router/direct/stop.go
@@ -16,7 +16,7 @@
 // so that they connect to another instance.
 func (s *Server) CloseCallerConnections() { s.closeCallerConns.Store(true) }
 
-// PrepareStop tells that the instance closes all connections soon after end. Requests that
+// PrepareStop announces that the instance closes all connections soon after end. Requests that
 // arrive after lateFrom and have more time than that are refused, and all others are
 // answered by end.
 func (s *Server) PrepareStop(lateFrom, end time.Time) {
