--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -75,4 +75,6 @@
 	"stop":  runStop,
 	"heads": runHeads,
 	"slow":  runSlow,
+	"crash": runCrash,
+	"era":   runEra,
 }
