Review case 6: a record with a key of 255 bytes ends all processes

The cases are in the order of their weight now: 7 is the planned stop, 8 the header lines, 9 the request that crashes servers, 10 the slow reader.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 # review/build-2.sh first. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/bronzewind ] && [ -x target/stand-2 ] || exit 2
-exec target/stand-2 heads review/7
+exec target/stand-2 stop review/7
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -77,4 +77,5 @@
 	"slow":  runSlow,
 	"crash": runCrash,
 	"era":   runEra,
+	"key":   runKey,
 }
