Responses with an invalid status are no responses

What callers saw: a server in trouble answered with status 000, and its caller got a response all the same. On the direct way the head was skipped, and what stood in its body was read as the response: a 200 with the bytes of the server's choice. Without a body the caller waited for the whole deadline. 600 and 999 were passed on. On the way through a dispatcher 101 was passed on as final response, and 000 to 099 made the handler panic ("invalid WriteHeader code 0"): the caller lost its connection and was not told that the request may have run.

Cause: net/http's ReadResponse takes any three characters that strconv.Atoi reads for a status, 000 and 999 too, and every reader here took it over. readResponseHead (router/direct) skipped all below 200 as interim responses. Nothing checked the head that another instance passes on.

Change: httpresponse.Check (core/httpresponse) accepts 200 to 599 as final and 1xx other than 101 as interim.

Grants of the platform held before: an answer below 200 or unknown was no success.

--- a/core/backend/client.go
+++ b/core/backend/client.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"slices"
 	"sync"
+
+	"bronzewind.example/core/httpresponse"
 )
 
 type (
@@ -99,6 +101,9 @@
 		return a, err
 	}
 	defer resp.Body.Close()
+	if err := httpresponse.Check(resp); err != nil {
+		return a, fmt.Errorf("grant answer: %w", err)
+	}
 	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil && checks {
 		return a, fmt.Errorf("grant answer: %w", err)
 	}
--- a/core/code/code.go
+++ b/core/code/code.go
@@ -128,7 +128,7 @@
 	{MarkLost, Unknown, http.StatusConflict, "mark-lost", "An earlier try may have run, and the record of its outcome is lost."},
 	{CancelledRunning, Unknown, 499, "cancelled-running", "The caller went away after the first byte was sent."},
 	{StillRunning, Unknown, http.StatusConflict, "still-running", "An earlier try with this idempotency key is still running."},
-	{AnswerCrossed, Unknown, http.StatusBadGateway, "answer-crossed", "The backend server sent the answer of another request; it was thrown away."},
+	{AnswerCrossed, Unknown, http.StatusBadGateway, "answer-crossed", "The backend server sent the answer of another request, or bytes that are no valid answer; they were thrown away."},
 	{UploadCutOff, Unknown, http.StatusBadRequest, "upload-cut-off", "The body ended early after a part of it was passed on."},
 	{RefusalUnclear, Unknown, http.StatusBadGateway, "refusal-unclear", "The backend server refused the request without saying that it did not run it."},
 }
--- a/operator/fleet/status.go
+++ b/operator/fleet/status.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"bronzewind.example/core/httpresponse"
 	"bronzewind.example/core/state"
 )
 
@@ -55,6 +56,9 @@
 		return
 	}
 	defer resp.Body.Close()
+	if httpresponse.Check(resp) != nil {
+		return
+	}
 	name := i.Name
 	i.Reachable = json.NewDecoder(resp.Body).Decode(i) == nil && i.Name == name
 	i.Name = name
--- a/router/direct/exchange.go
+++ b/router/direct/exchange.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bronzewind.example/core/code"
+	"bronzewind.example/core/httpresponse"
 	"bronzewind.example/core/memory"
 )
 
@@ -313,15 +314,20 @@
 	return w.err
 }
 
-// readResponseHead reads the head of the next response, skipping informational
-// (1xx) responses.
+// readResponseHead reads the head of the next response, skipping interim (1xx) responses.
 func readResponseHead(c *conn, r *request) (*http.Response, error) {
 	c.headLimit = c.bytesRead + maxHeadBytes
 	defer func() { c.headLimit = 0 }()
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.method})
-		if err != nil || resp.StatusCode >= 200 {
-			return resp, err
+		if err == nil {
+			err = httpresponse.Check(resp)
+		}
+		if err != nil {
+			return nil, err
+		}
+		if !httpresponse.Interim(resp.StatusCode) {
+			return resp, nil
 		}
 	}
 }
@@ -395,6 +401,8 @@
 		a.outcome, a.code = outcomeCancelled, code.CancelledRunning
 	case errors.Is(err, errHeadTooLong):
 		a.outcome, a.code = outcomeUnknown, code.AnswerCutOff
+	case errors.Is(err, httpresponse.ErrInvalid):
+		a.outcome, a.code = outcomeUnknown, code.AnswerCrossed
 	case closedByPeer(err):
 		a.outcome, a.code, a.closedBeforeResponse = outcomeUnknown, code.BackendReset, true
 	case !time.Now().Before(r.deadline):
--- a/router/dispatch/send.go
+++ b/router/dispatch/send.go
@@ -16,6 +16,7 @@
 
 	"bronzewind.example/core/backend"
 	"bronzewind.example/core/code"
+	"bronzewind.example/core/httpresponse"
 )
 
 // send sends a started job to the backend server. The slot is freed when a
@@ -109,10 +110,13 @@
 	return resp, nil
 }
 
-// checkResponse returns an error for a response to another request, for a
-// response that is not self-delimited, and for a refusal if the service is
-// configured to trust refusals.
+// checkResponse returns an error for an invalid response, for a response to
+// another request, for a response that is not self-delimited, and for a refusal
+// if the service is configured to trust refusals.
 func (d *Dispatcher) checkResponse(req *http.Request, resp *http.Response) *code.Error {
+	if err := httpresponse.Check(resp); err != nil {
+		return code.NewError(code.AnswerCrossed, err.Error())
+	}
 	sent := req.Header.Get(backend.SequenceHeader)
 	for _, got := range resp.Header.Values(backend.SequenceHeader) {
 		if got != sent {
--- a/router/peer/client.go
+++ b/router/peer/client.go
@@ -14,6 +14,7 @@
 
 	"bronzewind.example/core/code"
 	"bronzewind.example/core/config"
+	"bronzewind.example/core/httpresponse"
 	"bronzewind.example/core/route"
 	"bronzewind.example/router/dispatch"
 )
@@ -191,11 +192,14 @@
 		switch {
 		case a.WantsBody:
 			u.start()
+			continue
 		case a.Code != code.OK:
 			return nil, code.NewError(a.Code, a.Reason)
-		default:
-			return &a, nil
 		}
+		if err := httpresponse.CheckFinal(a.Status); err != nil {
+			return nil, code.NewError(code.AnswerCrossed, err.Error())
+		}
+		return &a, nil
 	}
 }
 
--- a/router/peer/client_test.go
+++ b/router/peer/client_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -11,6 +12,7 @@
 
 	"bronzewind.example/core/code"
 	"bronzewind.example/core/route"
+	"bronzewind.example/router/dispatch"
 )
 
 // TestRequestToALostMemberFailsAtOnce holds a request at a member that departs:
@@ -42,3 +44,38 @@
 		}
 	}
 }
+
+// fixedAnswer gives the same answer to every request.
+type fixedAnswer struct {
+	status int
+	header http.Header
+}
+
+// Do implements Doer.
+func (f fixedAnswer) Do(context.Context, *dispatch.Request) (*dispatch.Response, error) {
+	return &dispatch.Response{Status: f.status, Header: f.header, Length: 4, Body: io.NopCloser(strings.NewReader("tins"))}, nil
+}
+
+// TestInvalidAnswerOfInstance guards against an invalid answer that another instance, such as
+// one of an earlier version, passes on.
+func TestInvalidAnswerOfInstance(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer fixedAnswer
+		want   code.Code
+	}{
+		"valid":        {fixedAnswer{status: 599}, code.OK},
+		"no status":    {fixedAnswer{}, code.AnswerCrossed},
+		"other status": {fixedAnswer{status: 101}, code.AnswerCrossed},
+	} {
+		client, to := newPair(t, c.answer)
+		_, err := ask(client, to, http.MethodGet, nil, 0)
+		var e *code.Error
+		got := code.OK
+		if errors.As(err, &e) {
+			got = e.Code
+		}
+		if d := cmp.Diff(c.want, got); d != "" {
+			t.Errorf("%s (-want +got)\n%s", name, d)
+		}
+	}
+}
