Responses with an invalid field name are no responses

What callers saw: a server in trouble answered with a blank in the name of a field. "Content- Length : 2" before "good" gave callers the body "good", and "Transfer-Encoding : chunked" gave them the bytes of the chunks as the body, each as a signed 200. With other names the response came without the line, or with it, and in trailers and interim responses nobody noticed.

Cause: net/textproto accepts a blank in a name and keeps the line under that name ("We accept invalid headers with a space before the colon"), so that it has no effect on the framing. It refuses control bytes, which is why those held. All readers here took its result over.

A Transport that shows interim responses no longer limits their bytes together, so that their number is limited there. The response is refused before anything of it is used, as one that may have run, and its connection is closed.

--- a/core/backend/client_test.go
+++ b/core/backend/client_test.go
@@ -31,10 +31,11 @@
 func TestInvalidGrantAnswer(t *testing.T) {
 	const body = `{"accepted":true,"incarnation":5}`
 	for head, want := range map[string]bool{
-		"HTTP/1.1 200 X\r\n": true,
-		"HTTP/1.1 000 X\r\n": false,
-		"HTTP/1.1 101 X\r\n": false,
-		"HTTP/1.1 600 X\r\n": false,
+		"HTTP/1.1 200 X\r\n":               true,
+		"HTTP/1.1 000 X\r\n":               false,
+		"HTTP/1.1 101 X\r\n":               false,
+		"HTTP/1.1 600 X\r\n":               false,
+		"HTTP/1.1 200 X\r\nX Other: o\r\n": false,
 	} {
 		address := newRawServer(t, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body))
 		a, err := NewClient().Grant(t.Context(), address, Grant{}, true)
--- a/router/direct/health_check_test.go
+++ b/router/direct/health_check_test.go
@@ -108,8 +108,9 @@
 		"HTTP/1.1 200 X\r\nContent-Length: 9999\r\n\r\n" + strings.Repeat("x", 9999): false,
 		"HTTP/1.1 503 X\r\nContent-Length: 0\r\nT-Not-Run: 1\r\n\r\n":                false,
 		"HTTP/1.1 200 X\r\nX: " + strings.Repeat("x", 2*maxHeadBytes) + "\r\n\r\n":   false,
-		"not a response\r\n\r\n":                      false,
-		"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n": false,
+		"not a response\r\n\r\n":                                                                   false,
+		"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n":                                              false,
+		"HTTP/1.1 200 X\r\nContent-Length: 2\r\nX Other: o\r\n\r\nok":                              false,
 		"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nok": false,
 	} {
 		server := newScriptedServer(t, func(c net.Conn, _ *http.Request, _ int64) { fmt.Fprint(c, response) })
--- a/router/dispatch/conn.go
+++ b/router/dispatch/conn.go
@@ -2,17 +2,25 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 	"time"
+
+	"bronzewind.example/core/httpresponse"
 )
 
 const (
 	dialTimeout            = time.Second
 	idleConnTimeout        = time.Minute
 	maxResponseHeaderBytes = 64 << 10
+
+	// maxInterimResponses limits the interim responses before a final one. Each may have
+	// maxResponseHeaderBytes.
+	maxInterimResponses = 1000
 )
 
 type (
@@ -32,9 +40,12 @@
 		connections  int        // number of connections that the transport assigned to the request
 		conn         *trackedConn
 		writesBefore uint64 // writes started on conn before it was assigned
+		interim      int    // interim responses received
 	}
 )
 
+var errManyInterim = fmt.Errorf("%w: more than %d interim responses", httpresponse.ErrInvalid, maxInterimResponses)
+
 // newTransport returns a transport that opens at most the given number of
 // tracked connections to one backend server.
 func newTransport(connections int) *http.Transport {
@@ -88,7 +99,7 @@
 
 // trace returns a context in which the transport reports its connections to a.
 func (a *attempt) trace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.gotConn})
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.gotConn, Got1xxResponse: a.gotInterim})
 }
 
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
@@ -100,6 +111,17 @@
 	}
 }
 
+// gotInterim returns an error, which ends the attempt, if an interim response is
+// not valid or one too many.
+func (a *attempt) gotInterim(_ int, header textproto.MIMEHeader) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.interim++; a.interim > maxInterimResponses {
+		return errManyInterim
+	}
+	return httpresponse.CheckNames(http.Header(header))
+}
+
 // sealIfUnwritten reports whether no byte of the request was passed to a
 // connection. If so, it also prevents any from being passed later. It is
 // called after the transport has returned an error.
--- a/router/dispatch/send.go
+++ b/router/dispatch/send.go
@@ -183,6 +183,8 @@
 		return code.NewError(code.UploadCutOff, err.Error())
 	case ctx.Err() != nil:
 		return code.NewError(code.CancelledRunning, "the caller cancelled the request or disconnected")
+	case errors.Is(err, httpresponse.ErrInvalid):
+		return code.NewError(code.AnswerCrossed, err.Error())
 	default:
 		return code.NewError(code.BackendReset, err.Error())
 	}
--- a/router/peer/client.go
+++ b/router/peer/client.go
@@ -196,7 +196,7 @@
 		case a.Code != code.OK:
 			return nil, code.NewError(a.Code, a.Reason)
 		}
-		if err := httpresponse.CheckFinal(a.Status); err != nil {
+		if err := httpresponse.CheckFinal(a.Status, a.Header); err != nil {
 			return nil, code.NewError(code.AnswerCrossed, err.Error())
 		}
 		return &a, nil
--- a/router/peer/client_test.go
+++ b/router/peer/client_test.go
@@ -66,6 +66,8 @@
 		"valid":        {fixedAnswer{status: 599}, code.OK},
 		"no status":    {fixedAnswer{}, code.AnswerCrossed},
 		"other status": {fixedAnswer{status: 101}, code.AnswerCrossed},
+		"blank":        {fixedAnswer{status: 200, header: http.Header{"X Other": {"o"}}}, code.AnswerCrossed},
+		"control byte": {fixedAnswer{status: 200, header: http.Header{"X\r\nOther": {"o"}}}, code.AnswerCrossed},
 	} {
 		client, to := newPair(t, c.answer)
 		_, err := ask(client, to, http.MethodGet, nil, 0)
