A reset during an upload doesn't complete a response without a length

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written. The caller got the part as a complete response.

Cause: the end of the connection completes such a body, and a reset is no such end. But the kernel reports a reset to one call on the socket alone. If the goroutine that writes the upload makes that call, it gets ECONNRESET, and the read of the response gets the end of the stream. exchange looked at the result of the writing only to decide whether the connection is kept.

What failed before the connection was closed is a failed connection, and the response is cut off: code 3004 (answer-cut-off), or a broken connection if the caller has its first bytes. A writing that was still in progress, or came to its end, had no error to take, so that the end was the server's own. The check stands where all three readers of a body begin (first window, held response, stream).

The same elsewhere: the dispatcher refuses responses without a length or chunks, and did before. net/http's Transport, with which the store is read, has the same two goroutines. A cut response to an append, of which nothing but the status is needed, counted as carried out.

--- a/core/httpresponse/httpresponse.go
+++ b/core/httpresponse/httpresponse.go
@@ -69,6 +69,13 @@
 	return status >= minStatus && status < minFinalStatus && status != http.StatusSwitchingProtocols
 }
 
+// SelfDelimited reports whether resp itself shows where its body ends: its length is known, or
+// it is chunked. Otherwise the end of the connection ends the body, which a reader can't always
+// distinguish from a broken connection.
+func SelfDelimited(resp *http.Response) bool {
+	return resp.Body == http.NoBody || resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 // Read implements io.Reader.
 func (c *trailerChecker) Read(p []byte) (int, error) {
 	n, err := c.ReadCloser.Read(p)
--- a/router/direct/body.go
+++ b/router/direct/body.go
@@ -35,6 +35,16 @@
 	// to use.
 	segmentPool struct{ free sync.Pool }
 
+	// closeDelimitedBody is the body of a response without a length or chunks, which the end of
+	// the connection completes. A reset of the connection is no such end, but the kernel reports
+	// it only once: if the concurrent writing of the request got the error, reading ends as if
+	// the server had closed the connection.
+	closeDelimitedBody struct {
+		io.ReadCloser
+		conn  *conn
+		write *requestWrite
+	}
+
 	// bodyReader reads a body; it also writes its segments to a writer as they are.
 	bodyReader struct {
 		segments [][]byte // of which nothing, or only a part of the first one, has been read
@@ -109,6 +119,15 @@
 	return n, nil
 }
 
+// Read implements io.Reader.
+func (b *closeDelimitedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && b.write.failed(b.conn) {
+		return n, errWriteFailed
+	}
+	return n, err
+}
+
 // readAnnounced reads exactly n bytes of in, for which there is room.
 func (b *body) readAnnounced(in io.Reader, n int64, received func(int)) error {
 	for b.length < n {
--- a/router/direct/exchange.go
+++ b/router/direct/exchange.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -144,6 +146,7 @@
 	errAmbiguousRefusal = errors.New("server refused the request without stating that it was not run")
 	errResponseTooLarge = fmt.Errorf("response body exceeds %d bytes", maxResponseBytes)
 	errCallerStopped    = errors.New("the caller takes no more of its response")
+	errWriteFailed      = errors.New("the connection failed while the request was written, so that its end does not complete a response without a length")
 	expiredDeadline     = time.Unix(1, 0) // as a connection's deadline, it aborts reads and writes in progress
 
 	// framingHeaders are written by writeRequest itself, as the body requires.
@@ -256,6 +259,9 @@
 			s.classifyError(ctx, c, r, a, err, write)
 			return false
 		}
+		if !httpresponse.SelfDelimited(head) {
+			head.Body = &closeDelimitedBody{ReadCloser: head.Body, conn: c, write: write}
+		}
 		beginning, err := s.readStart(head, r)
 		if err != nil {
 			a.outcome, a.code, a.err = outcomeUnknown, code.AnswerCutOff, err
@@ -314,6 +320,16 @@
 	return w.err
 }
 
+// failed reports whether the connection failed while the request was written to c, of which
+// nothing more is read. It ends a writing that is still in progress.
+func (w *requestWrite) failed(c *conn) bool {
+	if !w.writtenSoon() {
+		_ = c.Close() // ends the writing; what has failed before stays so
+	}
+	err := w.wait()
+	return err != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // readResponseHead reads the head of the next response, skipping interim (1xx) responses.
 func readResponseHead(c *conn, r *request) (*http.Response, error) {
 	c.headLimit = c.bytesRead + maxHeadBytes
--- a/router/direct/invalid_response_test.go
+++ b/router/direct/invalid_response_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 )
@@ -25,10 +26,14 @@
 	server *Server
 }
 
-// waysTo returns both ways to the backend server at address.
+// waysTo returns both ways to the backend server at address. The peer's report that it reaches
+// the server does not expire during the test.
 func waysTo(t *testing.T, route Route, address string) []wayToServer {
 	t.Helper()
 	partitioned, _ := newPartitionedServer(t, route, address)
+	for name, known := range partitioned.peers.reached {
+		partitioned.ObservePeer(Peer{Name: name, Address: known.backend.info.Load().Address}, true, time.Now().Add(testTimeout))
+	}
 	return []wayToServer{{"directly", newTestServer(t, route, false, address)}, {"by way of a peer", partitioned}}
 }
 
--- a/router/dispatch/response.go
+++ b/router/dispatch/response.go
@@ -71,12 +71,6 @@
 	return err
 }
 
-// selfDelimited reports whether the end of resp can be distinguished from a
-// broken connection: its length is known, or it is chunked.
-func selfDelimited(resp *http.Response) bool {
-	return resp.Body == http.NoBody || resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-}
-
 // readPrefix returns the first maxBufferedBytes of the body of resp, or the
 // whole body if it is shorter.
 func readPrefix(resp *http.Response) ([]byte, error) {
--- a/router/dispatch/send.go
+++ b/router/dispatch/send.go
@@ -126,7 +126,7 @@
 	if reason := resp.Header.Get(backend.RefusedHeader); reason != "" && d.trustsRefusals() {
 		return code.NewError(code.RefusedByBackend, reason)
 	}
-	if !selfDelimited(resp) {
+	if !httpresponse.SelfDelimited(resp) {
 		return code.NewError(code.AnswerCutOff, "the response has neither a length nor chunked encoding")
 	}
 	return nil
