Answers without end are read up to a limit everywhere

What the reports say: a faulty server sent bytes without end until the caller closed, and the machine that had called it kept them all. Here the readers of responses for callers, of the store and of the platform's grants had limits. Three readers had none:

- core/backend, with which a dispatcher sends grants: the JSON decoder kept the answer until the grant's deadline.
- bronzectl's status and explain, with which an operator asks instances.
- core/platform's List had a limit of bytes and none of time.
An answer that came slowly and without end left the instance with its last list of backend servers for good.

--- a/core/backend/client.go
+++ b/core/backend/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -13,6 +14,11 @@
 	"bronzewind.example/core/httpresponse"
 )
 
+const (
+	maxAnswerHeadBytes = 64 << 10
+	maxAnswerBytes     = 64 << 10
+)
+
 type (
 	// Client sends grants to backend servers over HTTP. A renewal that grants
 	// what an accepted one listed names that one and lists nothing again.
@@ -32,7 +38,7 @@
 // NewClient returns a client that keeps one connection to each backend server.
 func NewClient() *Client {
 	return &Client{
-		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxAnswerHeadBytes}},
 		listed: map[target]Grant{},
 	}
 }
@@ -104,7 +110,7 @@
 	if err := httpresponse.Check(resp); err != nil {
 		return a, fmt.Errorf("grant answer: %w", err)
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil && checks {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(&a); err != nil && checks {
 		return a, fmt.Errorf("grant answer: %w", err)
 	}
 	if a.Incarnation == 0 && checks {
--- a/core/platform/http.go
+++ b/core/platform/http.go
@@ -21,6 +21,7 @@
 	OldestHeader = "Log-Oldest"
 
 	maxAnswerBytes = 64 << 20
+	listTimeout    = 2 * time.Second
 )
 
 // Client is the HTTP adapter of Log and Listing.
@@ -62,8 +63,10 @@
 	return Batch(a), nil
 }
 
-// List implements Listing.
+// List implements Listing. It fails if the list is not complete after listTimeout.
 func (c *Client) List(ctx context.Context) ([]Listed, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
 	var rows []Listed
 	err := c.call(ctx, http.MethodGet, ListPath, nil, &rows)
 	return rows, err
--- a/operator/fleet/status.go
+++ b/operator/fleet/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -10,7 +11,10 @@
 	"bronzewind.example/core/state"
 )
 
-const statusTimeout = time.Second
+const (
+	statusTimeout  = time.Second
+	maxStatusBytes = 64 << 10
+)
 
 // Instance is what one instance says of itself.
 type Instance struct {
@@ -60,6 +64,6 @@
 		return
 	}
 	name := i.Name
-	i.Reachable = json.NewDecoder(resp.Body).Decode(i) == nil && i.Name == name
+	i.Reachable = json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(i) == nil && i.Name == name
 	i.Name = name
 }
--- a/operator/fleet/status_test.go
+++ b/operator/fleet/status_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -20,7 +21,7 @@
 				return
 			}
 			defer c.Close()
-			body := `{"name":"front-1"}`
+			body := `{"instance":"front-1"}`
 			fmt.Fprintf(c, "HTTP/1.1 %s X\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
 		}))
 		defer server.Close()
@@ -31,3 +32,30 @@
 		}
 	}
 }
+
+// TestEndlessStatusAnswer guards against an instance, or what listens at its address, that sends
+// without end: all of it was kept until the timeout.
+func TestEndlessStatusAnswer(t *testing.T) {
+	const (
+		endlessBytes = 256 << 20
+		mostBytes    = 16 << 20 // with what the kernel buffers
+	)
+	written := make(chan int, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		n, _ := w.Write([]byte(`{"instance":"`))
+		block := bytes.Repeat([]byte("x"), 64<<10)
+		for n < endlessBytes {
+			m, err := w.Write(block)
+			if n += m; err != nil {
+				break
+			}
+		}
+		written <- n
+	}))
+	defer server.Close()
+	i := Instance{Name: "front-1", Admin: server.Listener.Addr().String()}
+	i.ask(t.Context())
+	if n := <-written; i.Reachable || n > mostBytes {
+		t.Errorf("reachable %v after %d bytes, want the connection closed before %d", i.Reachable, n, mostBytes)
+	}
+}
--- a/operator/instance/explain.go
+++ b/operator/instance/explain.go
@@ -14,7 +14,10 @@
 	"bronzewind.example/core/decision"
 )
 
-const maxErrorBytes = 1 << 10 // of a failed response, for the error
+const (
+	maxErrorBytes       = 1 << 10 // of a failed response, for the error
+	maxExplanationBytes = 16 << 20
+)
 
 // Query is a request that an instance explains instead of sending it.
 type Query struct {
@@ -42,7 +45,7 @@
 		return nil, fmt.Errorf("ask the instance: got status %d, want 200: %s", response.StatusCode, strings.TrimSpace(string(reason)))
 	}
 	out := &decision.Explanation{}
-	if err := json.NewDecoder(response.Body).Decode(out); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxExplanationBytes)).Decode(out); err != nil {
 		return nil, fmt.Errorf("decode the instance's explanation: %w", err)
 	}
 	return out, nil
--- a/operator/instance/explain_test.go
+++ b/operator/instance/explain_test.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"bytes"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -35,3 +36,31 @@
 		t.Errorf("error %v, want the instance's reason", err)
 	}
 }
+
+// TestEndlessExplanation guards against an instance, or what listens at its address, that sends
+// without end: all of it was kept.
+func TestEndlessExplanation(t *testing.T) {
+	const (
+		endlessBytes = 256 << 20
+		mostBytes    = 32 << 20 // with what the kernel buffers
+	)
+	written := make(chan int, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		n, _ := w.Write([]byte(`{"instance":"`))
+		block := bytes.Repeat([]byte("x"), 64<<10)
+		for n < endlessBytes {
+			m, err := w.Write(block)
+			if n += m; err != nil {
+				break
+			}
+		}
+		written <- n
+	}))
+	defer server.Close()
+	if _, err := Explain(t.Context(), server.URL, Query{}); err == nil {
+		t.Error("no error for an explanation without end")
+	}
+	if n := <-written; n > mostBytes {
+		t.Errorf("the instance could send %d bytes, want the connection closed before %d", n, mostBytes)
+	}
+}
--- a/router/caller/invalid_answers_test.go
+++ b/router/caller/invalid_answers_test.go
@@ -5,8 +5,10 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
+	"time"
 
 	gocmp "github.com/google/go-cmp/cmp"
 
@@ -73,3 +75,67 @@
 	testInvalidAnswers(t, code.BackendReset, control)
 	testInvalidAnswers(t, code.AnswerCutOff, trailer)
 }
+
+// TestEndlessAnswers has a backend server send without end in each part of an answer. The
+// connection must be closed after a bounded number of bytes, or at the deadline for a body whose
+// caller takes it, and the instance must not keep the bytes.
+func TestEndlessAnswers(t *testing.T) {
+	const (
+		mostBytes  = 128 << 20 // with what the kernel buffers, for all but a body
+		mostMemory = 16 << 20  // of the heap, with the server's and the caller's own
+	)
+	start := "HTTP/1.1 200 X\r\nBronzewind-Sequence: %s\r\n"
+	for _, c := range []struct {
+		name, begin, repeat string
+		code                code.Code
+	}{
+		{"no status line", "%.0s", "x", code.BackendReset},
+		{"header value", start + "X: ", "x", code.BackendReset},
+		{"header lines", start, "A: b\r\n", code.BackendReset},
+		{"interim answers", "%.0s", "HTTP/1.1 103 X\r\n\r\n", code.AnswerCrossed},
+		{"interim answers with long heads", "%.0s", "HTTP/1.1 103 X\r\nX: " + strings.Repeat("x", 32<<10) + "\r\n\r\n", code.AnswerCrossed},
+		{"body without a length", start + "\r\n", "x", code.AnswerCutOff},
+		{"chunk header", start + "Transfer-Encoding: chunked\r\n\r\n1;", "x", code.AnswerCutOff},
+		{"trailer", start + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n", code.AnswerCutOff},
+		{"body", start + "Content-Length: 9000000000000\r\n\r\n", "x", code.OK},
+		{"chunks", start + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + strings.Repeat("x", 1<<12) + "\r\n", code.OK},
+	} {
+		for _, local := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/local=%t", c.name, local), func(t *testing.T) {
+				written := make(chan int64, 1)
+				f := newFleet(t, fleetOptions{local: local, patient: 2 * time.Second, script: func(conn net.Conn, r *http.Request) {
+					fmt.Fprintf(conn, c.begin, r.Header.Get("Bronzewind-Sequence"))
+					n, block := int64(0), []byte(strings.Repeat(c.repeat, 1+(64<<10)/len(c.repeat)))
+					for {
+						m, err := conn.Write(block)
+						if n += int64(m); err != nil {
+							break
+						}
+					}
+					written <- n
+					conn.Close()
+				}})
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				got := ask(t, f, scenario{method: "GET"})
+				n := <-written
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				want := outcome{Code: int(c.code), Outcome: code.Unknown.String(), Status: http.StatusBadGateway, Whole: true}
+				if c.code == code.OK {
+					want = outcome{Outcome: code.Done.String(), Status: http.StatusOK}
+				}
+				if diff := gocmp.Diff(want, got); diff != "" {
+					t.Errorf("outcome (-want +got):\n%s", diff)
+				}
+				if c.code != code.OK && n > mostBytes {
+					t.Errorf("the server could send %d bytes, want the connection closed before %d", n, mostBytes)
+				}
+				if after.HeapAlloc > before.HeapAlloc+mostMemory {
+					t.Errorf("the heap grew from %d to %d bytes, want at most %d more", before.HeapAlloc, after.HeapAlloc, mostMemory)
+				}
+			})
+		}
+	}
+}
--- a/router/direct/faulty_response_test.go
+++ b/router/direct/faulty_response_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"testing"
@@ -194,6 +195,73 @@
 	}
 }
 
+// discardingWriter is the caller of a response that it does not keep.
+type discardingWriter struct {
+	header http.Header
+	bytes  int64
+}
+
+// Header implements http.ResponseWriter.
+func (w *discardingWriter) Header() http.Header { return w.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *discardingWriter) WriteHeader(int) {}
+
+// Write implements http.ResponseWriter.
+func (w *discardingWriter) Write(b []byte) (int, error) {
+	w.bytes += int64(len(b))
+	return len(b), nil
+}
+
+// Hold implements holdingWriter.
+func (w *discardingWriter) Hold(int64) {}
+
+// TryHold implements holdingWriter.
+func (w *discardingWriter) TryHold(int64) bool { return true }
+
+// TestEndlessStream has a server send a signed success without end, which is passed on while it
+// is received. It must be broken off after a bounded number of bytes, of which the instance
+// keeps few, directly and by way of a peer.
+func TestEndlessStream(t *testing.T) {
+	const (
+		mostBytes  = maxResponseBytes + 16<<20 // with what the kernel buffers
+		mostMemory = 8 << 20                   // of the heap, which both instances and the server share
+	)
+	start := "HTTP/1.1 200 OK\r\nT-Id: r\r\nT-Signed: s\r\n"
+	for _, c := range []struct{ name, begin, repeat string }{
+		{"without a length", start + "\r\n", "x"},
+		{"with a length", start + "Content-Length: 9000000000000\r\n\r\n", "x"},
+		{"in chunks", start + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + strings.Repeat("x", 1<<12) + "\r\n"},
+	} {
+		written := make(chan int64, 2)
+		server := newScriptedServer(t, func(conn net.Conn, _ *http.Request, _ int64) {
+			n, _ := io.Copy(struct{ io.Writer }{conn}, io.MultiReader(strings.NewReader(c.begin), &endless{text: c.repeat}))
+			written <- n
+		})
+		for _, way := range waysTo(t, Route{Attempts: 1, Idempotent: true}, server.listener.Addr().String()) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			w := &discardingWriter{header: http.Header{}}
+			r := httptest.NewRequest("GET", "http://h/x", nil)
+			r.Header.Set("T-Id", "r")
+			r.Header.Set("T-Deadline", "20000")
+			complete := serveUntilEnd(way.server, w, r)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			if complete || w.bytes == 0 || w.bytes > mostBytes {
+				t.Errorf("%s, %s: complete %v after %d bytes, want it broken off after 1 to %d", c.name, way.name, complete, w.bytes, int64(mostBytes))
+			}
+			if n := <-written; n > mostBytes {
+				t.Errorf("%s, %s: the server could send %d bytes, want the connection closed before %d", c.name, way.name, n, int64(mostBytes))
+			}
+			if after.HeapAlloc > before.HeapAlloc+mostMemory {
+				t.Errorf("%s, %s: the heap grew from %d to %d bytes, want at most %d more", c.name, way.name, before.HeapAlloc, after.HeapAlloc, mostMemory)
+			}
+		}
+	}
+}
+
 // TestResponseCutAnywhere guards against a response that ends early and reaches the caller
 // as a complete success, above all one that ends within its head. The server closes the
 // connection after each possible number of bytes; the last attempt gets all of them.
