--- a/core/platform/http.go
+++ b/core/platform/http.go
@@ -21,7 +21,6 @@
 	OldestHeader = "Log-Oldest"
 
 	maxAnswerBytes = 64 << 20
-	listTimeout    = 2 * time.Second
 )
 
 // Client is the HTTP adapter of Log and Listing.
@@ -63,37 +62,40 @@
 	return Batch(a), nil
 }
 
-// List implements Listing. It fails if the list is not complete after listTimeout.
-func (c *Client) List(ctx context.Context) ([]Listed, error) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	var rows []Listed
-	err := c.call(ctx, http.MethodGet, ListPath, nil, &rows)
-	return rows, err
+// call sends a request and decodes the body of its response.
+func (c *Client) call(ctx context.Context, method, path string, body io.Reader, into any) error {
+	resp, err := c.send(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(into); err != nil {
+		return fmt.Errorf("platform: %s %s: %w", method, path, err)
+	}
+	return nil
 }
 
-func (c *Client) call(ctx context.Context, method, path string, body io.Reader, into any) error {
+// send sends a request and returns its response, whose body the caller must close. A status
+// other than 200 is an error.
+func (c *Client) send(ctx context.Context, method, path string, body io.Reader) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
 	if err != nil {
-		return fmt.Errorf("platform: %w", err)
+		return nil, fmt.Errorf("platform: %w", err)
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return Unreachable.Wrap(err, "the platform at %s does not answer", c.base)
+		return nil, Unreachable.Wrap(err, "the platform at %s does not answer", c.base)
+	}
+	if resp.StatusCode == http.StatusOK {
+		return resp, nil
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode == http.StatusGone {
 		oldest, err := strconv.ParseUint(resp.Header.Get(OldestHeader), 10, 64)
 		if err != nil {
-			return fmt.Errorf("platform: %s %s answered %s without %s", method, path, resp.Status, OldestHeader)
+			return nil, fmt.Errorf("platform: %s %s answered %s without %s", method, path, resp.Status, OldestHeader)
 		}
-		return &TruncatedError{Oldest: oldest}
+		return nil, &TruncatedError{Oldest: oldest}
 	}
-	if resp.StatusCode != http.StatusOK {
-		return Unreachable.New("the platform at %s answered %s %s with %s", c.base, method, path, resp.Status)
-	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(into); err != nil {
-		return fmt.Errorf("platform: %s %s: %w", method, path, err)
-	}
-	return nil
+	return nil, Unreachable.New("the platform at %s answered %s %s with %s", c.base, method, path, resp.Status)
 }
--- a/core/platform/platform.go
+++ b/core/platform/platform.go
@@ -32,6 +32,8 @@
 
 	// Listing is the platform's list of backend servers; it lags.
 	Listing interface {
+		// List returns an *UnusableRowsError beside the rows that can be used if
+		// there are others.
 		List(ctx context.Context) ([]Listed, error)
 	}
 
--- a/router/daemon/platform.go
+++ b/router/daemon/platform.go
@@ -140,10 +140,20 @@
 	return err
 }
 
-// followList reads the list of backend servers.
+// followList reads the list of backend servers. Rows that can't be used are left out, and
+// logged when they change.
 func (d *Daemon) followList(ctx context.Context) error {
+	logged := ""
 	for ctx.Err() == nil {
 		rows, err := d.platform.List(ctx)
+		var unusable *platform.UnusableRowsError
+		if errors.As(err, &unusable) {
+			err = nil
+			if reason := unusable.Error(); reason != logged {
+				logged = reason
+				d.log.Warn("list of backend servers", "reason", reason)
+			}
+		}
 		if err == nil && !d.post(ctx, control.ServersListed{Rows: rows}) {
 			return nil
 		}
