A refusal without a length counts after a reset, as before

What callers would have seen: a server refuses a long upload with T-Not-Run (X-Not-Executed on the platform), without a length, and resets the connection while the upload is written.

Of a refusal only the head counts, which is complete; its body is not passed on.

Change: the check leaves refusals out. If the reading, and not the writing, gets the kernel's error, the refusal is cut off as it always was.

Evidence: TestFailedWriteBesideResponse, which gives the reading and the writing their results without a kernel, failed before: "refusal without a length: outcome unknown, want not-run".

--- a/router/direct/exchange.go
+++ b/router/direct/exchange.go
@@ -259,7 +259,8 @@
 			s.classifyError(ctx, c, r, a, err, write)
 			return false
 		}
-		if !httpresponse.SelfDelimited(head) {
+		// Of a refusal only the head counts.
+		if !httpresponse.SelfDelimited(head) && !s.statesNotRun(head.StatusCode, head.Header) {
 			head.Body = &closeDelimitedBody{ReadCloser: head.Body, conn: c, write: write}
 		}
 		beginning, err := s.readStart(head, r)
@@ -273,7 +274,7 @@
 		// a response to another request was read: a connection is reused only after
 		// responses that all had an ID, so a second copy of one of them has it too.
 		id := resp.header.Get(s.protocol.RequestID)
-		if unnamed := id == "" && s.statesNotRun(resp); id != r.id && (!unnamed || !clean) {
+		if unnamed := id == "" && s.statesNotRun(resp.status, resp.header); id != r.id && (!unnamed || !clean) {
 			clean = false
 			if unnamed || mismatched == maxMismatchedResponses || beginning.rest != nil {
 				a.outcome, a.code, a.err = outcomeUnknown, code.AnswerCrossed, errWrongRequestID
@@ -366,10 +367,10 @@
 	return nil
 }
 
-// statesNotRun reports whether the response states that the server did not run
-// the request.
-func (s *Server) statesNotRun(resp *response) bool {
-	return resp.header.Get(s.protocol.NotRun) != "" || resp.status == http.StatusMisdirectedRequest
+// statesNotRun reports whether a response with this status and header states that
+// the server did not run the request.
+func (s *Server) statesNotRun(status int, header http.Header) bool {
+	return header.Get(s.protocol.NotRun) != "" || status == http.StatusMisdirectedRequest
 }
 
 // promisesNotRun reports whether a caller takes status as a guarantee that its
@@ -390,7 +391,7 @@
 	}
 	is2xx := resp.status >= 200 && resp.status < 300
 	switch {
-	case s.statesNotRun(resp):
+	case s.statesNotRun(resp.status, resp.header):
 		a.outcome, a.code = outcomeNotRun, code.RefusedByBackend
 	case promisesNotRun(resp.status):
 		a.outcome, a.code, a.err = outcomeUnknown, code.RefusalUnclear, errAmbiguousRefusal
