Outcomes page lists invalid answers; unusable rows are logged once more after a break

The page named neither of the two kinds of answers that are now refused; TestOutcomesPage walks both new rows, through one instance and through two, and passes. followList forgets the reason it logged once the list is usable again, so that a new odd row of the same kind is logged.

--- a/router/caller/outcomes_test.go
+++ b/router/caller/outcomes_test.go
@@ -89,6 +89,9 @@
 	crossed := func(c net.Conn, _ *http.Request) {
 		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nBronzewind-Sequence: press-1.9.9\r\nContent-Length: 5\r\n\r\nother")
 	}
+	invalidStatus := func(c net.Conn, r *http.Request) {
+		fmt.Fprintf(c, "HTTP/1.1 000 X\r\nBronzewind-Sequence: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Bronzewind-Sequence"))
+	}
 	return map[string]scenario{
 		"served":                           {options: fleetOptions{script: answerOK}},
 		"connection refused":               {options: fleetOptions{address: closedAddress, patient: short}},
@@ -99,6 +102,8 @@
 		"timeout":                          {options: fleetOptions{script: hang(func(net.Conn, *http.Request) {}), patient: short}},
 		"answer late":                      {options: fleetOptions{script: hang(func(c net.Conn, r *http.Request) { fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Le") }), patient: short}},
 		"answer crossed":                   {options: fleetOptions{script: crossed}},
+		"answer with an invalid status":    {options: fleetOptions{script: invalidStatus}},
+		"answer with an invalid name":      {options: fleetOptions{script: answer("Content-Length : 5\r\n", "whole")}},
 		"answer cut off, length known":     {options: fleetOptions{script: answer("Content-Length: 9\r\n", "cut")}},
 		"answer cut off, chunked":          {options: fleetOptions{script: chunked(9, false)}},
 		"answer ends with its connection":  {options: fleetOptions{script: answer("Connection: close\r\n", "cut?")}},
--- a/router/daemon/platform.go
+++ b/router/daemon/platform.go
@@ -146,14 +146,15 @@
 	logged := ""
 	for ctx.Err() == nil {
 		rows, err := d.platform.List(ctx)
+		reason := ""
 		var unusable *platform.UnusableRowsError
 		if errors.As(err, &unusable) {
-			err = nil
-			if reason := unusable.Error(); reason != logged {
-				logged = reason
-				d.log.Warn("list of backend servers", "reason", reason)
-			}
+			reason, err = unusable.Error(), nil
+		}
+		if reason != "" && reason != logged {
+			d.log.Warn("list of backend servers", "reason", reason)
 		}
+		logged = reason
 		if err == nil && !d.post(ctx, control.ServersListed{Rows: rows}) {
 			return nil
 		}
--- a/router/direct/exchange.go
+++ b/router/direct/exchange.go
@@ -259,7 +259,7 @@
 			s.classifyError(ctx, c, r, a, err, write)
 			return false
 		}
-		// Of a refusal only the head counts.
+		// Of a refusal only the head counts, so that its body may be cut off.
 		if !httpresponse.SelfDelimited(head) && !s.statesNotRun(head.StatusCode, head.Header) {
 			head.Body = &closeDelimitedBody{ReadCloser: head.Body, conn: c, write: write}
 		}
@@ -301,6 +301,9 @@
 // writtenSoon reports whether the whole request was written, waiting up to
 // writeEndTimeout. If not, the connection must be closed to end the writing.
 func (w *requestWrite) writtenSoon() bool {
+	if w.finished {
+		return w.err == nil
+	}
 	timer := time.NewTimer(writeEndTimeout)
 	defer timer.Stop()
 	select {
@@ -325,7 +328,7 @@
 // nothing more is read. It ends a writing that is still in progress.
 func (w *requestWrite) failed(c *conn) bool {
 	if !w.writtenSoon() {
-		_ = c.Close() // ends the writing; what has failed before stays so
+		_ = c.Close() // ends the writing; an error that it got before remains its result
 	}
 	err := w.wait()
 	return err != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrDeadlineExceeded)
