Lookups don't go on to a reused address that rejects them without a name

Cause: a 421 showed another server only if it named one in X-Instance-Id, which the protocol promises for health checks alone. Without the name it counted as a plain refusal, and the owner was sent the request again. That the real processes leave the name out is a conclusion.

--- a/core/notice/replaced.go
+++ b/core/notice/replaced.go
@@ -20,12 +20,17 @@
 	Misdirected bool   // the server is not the one that the request names, or does not hold the request's key
 	Expected    string // ID of the server that the request names
 	Responder   string // ID that the response names; "" if none
+	ChecksKeys  bool   // servers of the service reject requests for keys that they do not hold
 }
 
 // ShowsReplacement reports whether another server than the expected one has rejected the
-// request.
+// request. A response that names no server shows it only if the expected one checks no keys, and
+// so has no other reason to reject the request as misdirected.
 func (r Rejection) ShowsReplacement() bool {
-	return r.Misdirected && r.Responder != "" && r.Responder != r.Expected
+	if r.Responder == "" {
+		return r.Misdirected && !r.ChecksKeys
+	}
+	return r.Misdirected && r.Responder != r.Expected
 }
 
 // WithRejection returns the state after a request was rejected.
--- a/core/notice/replaced_test.go
+++ b/core/notice/replaced_test.go
@@ -21,7 +21,8 @@
 	}{
 		{"another server", Rejection{Misdirected: true, Expected: "a", Responder: "b"}, 3},
 		{"the server itself, without the key", Rejection{Misdirected: true, Expected: "a", Responder: "a"}, 1000},
-		{"no server named", Rejection{Misdirected: true, Expected: "a"}, 1000},
+		{"no server named, by one that may lack the key", Rejection{Misdirected: true, Expected: "a", ChecksKeys: true}, 1000},
+		{"no server named, of a service without keys", Rejection{Misdirected: true, Expected: "a"}, 3},
 		{"another reason", Rejection{Expected: "a", Responder: "b"}, 1000},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/router/direct/attempt.go
+++ b/router/direct/attempt.go
@@ -24,6 +24,7 @@
 	unknownOutcome *requestFailure // of the last attempt with outcomeUnknown; nil if none
 	failedResponse *response       // a 5xx response of a server
 	peer           string          // instance by way of which the last attempt was made; "" if it was made directly
+	owner          ownerLookup     // of the last attempt at the owner of a key
 	reserved       *backend        // server at which a slot of its rate limit is reserved for the next attempt; nil if none
 
 	// Values of the admission decision that refused the request, for the log.
@@ -108,6 +109,9 @@
 			return state.finalResult(newFailure(code.BackendUnreachable, minUnsentBackoff, remaining))
 		}
 	case outcomeNotRun:
+		if s.rejectsAgain(r, state, a, now) {
+			return state.finalResult(newFailure(code.RefusedByBackend, ownerWaitTimeout, remaining))
+		}
 		if !s.takeRetry(r, state, now, remaining) {
 			return state.finalResult(newFailure(code.RefusedByBackend, s.typicalDurations.get(state.route)/2, remaining))
 		}
--- a/router/direct/health_check.go
+++ b/router/direct/health_check.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"bronzewind.example/core/notice"
 )
 
 const (
@@ -24,8 +26,10 @@
 
 // A health check reads from a server how long it stays cold. The server's record in the store
 // states the same at most one heartbeat later, so periodic checks from every instance to every
-// server would add load without benefit. Only a server that has closed a connection before its
-// response is checked: it may have crashed and restarted, and its record is not read yet.
+// server would add load without benefit. Only a server is checked that may have crashed while its
+// record is not read yet: one that has closed a connection before its response may have
+// restarted, and at the address of one that has rejected a request as misdirected, another server
+// may be. The check names the server that is meant, so that no other one responds for it.
 
 // healthCheckState is what the decision to check a server's health depends on.
 type healthCheckState struct {
@@ -35,6 +39,13 @@
 	lastCheck time.Duration // since the last check by this instance
 }
 
+// identityDue reports whether a server that has rejected a request as misdirected, in a response
+// that names no server, is to be checked. It may only lack the request's key; otherwise all
+// requests for its keys go on to another server until the store lists the change.
+func (c healthCheckState) identityDue() bool {
+	return c.path != "" && c.lastCheck >= healthCheckInterval
+}
+
 // due reports whether a server that may have restarted is to be checked. Without the check, the
 // instances that lost requests at a server that crashed under load and restarted cold would send
 // it as many requests as a warm one.
@@ -43,8 +54,8 @@
 }
 
 // takeHealthCheck returns the path at which the server is to be checked now, and counts the
-// check; "" if no check is due.
-func (b *backend) takeHealthCheck(service Service, now time.Time) string {
+// check; "" if none is due.
+func (b *backend) takeHealthCheck(service Service, due func(healthCheckState) bool, now time.Time) string {
 	cold := b.info.Load().Cold
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -52,7 +63,7 @@
 		path: service.HealthPath, coldRate: service.ColdRate,
 		cold: cold || b.notices.warmup.Cold(now), lastCheck: now.Sub(b.healthCheckedAt),
 	}
-	if !state.due() {
+	if !due(state) {
 		return ""
 	}
 	b.healthCheckedAt = now
@@ -71,19 +82,33 @@
 	if err != nil {
 		return errors.Is(err, errConnLimit)
 	}
-	path := b.takeHealthCheck(s.serviceOf(b), now)
+	path := b.takeHealthCheck(s.serviceOf(b), healthCheckState.due, now)
 	if path == "" {
 		b.pool.putUnused(c, time.Now())
 		return true
 	}
-	if s.checkHealth(b, c, path) {
-		b.pool.put(c, time.Now())
-	} else {
-		b.pool.closeConn(c)
-	}
+	s.checkHealth(b, c, path)
 	return true
 }
 
+// checkIdentity checks in the background which server is at the address of b, if that is due.
+func (s *Server) checkIdentity(b *backend, now time.Time) {
+	path := b.takeHealthCheck(s.serviceOf(b), healthCheckState.identityDue, now)
+	if path == "" {
+		return
+	}
+	s.crashChecks.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+		defer cancel()
+		c, _, err := b.pool.get(ctx, b.info.Load().Address, "", s.connectionLimitAt(b, now), 0, now.Add(dialTimeout))
+		if err != nil {
+			s.metrics.healthChecks.Add("no-response", 1)
+			return
+		}
+		s.checkHealth(b, c, path)
+	})
+}
+
 // serviceOf returns the service of b as the routing table has it; the zero value without one.
 func (s *Server) serviceOf(b *backend) Service {
 	t := s.routingTable.Load()
@@ -93,10 +118,20 @@
 	return t.Services[b.info.Load().Service]
 }
 
-// checkHealth makes a health check on c and reports whether c may carry a request after it.
-func (s *Server) checkHealth(b *backend, c *conn, path string) bool {
+// checkHealth makes a health check on c, and keeps c open if it may carry a request after it.
+func (s *Server) checkHealth(b *backend, c *conn, path string) {
+	if s.exchangeHealth(b, c, path) {
+		b.pool.put(c, time.Now())
+	} else {
+		b.pool.closeConn(c)
+	}
+}
+
+// exchangeHealth makes a health check on c and reports whether c may carry a request after it.
+func (s *Server) exchangeHealth(b *backend, c *conn, path string) bool {
 	_ = c.SetDeadline(time.Now().Add(healthCheckTimeout)) // if it fails, the write fails too
-	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, b.info.Load().Address); err != nil {
+	info := b.info.Load()
+	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n\r\n", path, info.Address, s.protocol.ExpectedServer, info.ID); err != nil {
 		s.metrics.healthChecks.Add("no-response", 1)
 		return false
 	}
@@ -106,7 +141,7 @@
 		return false
 	}
 	defer func() { _ = head.Body.Close() }() // nothing is left to read
-	s.observeHealth(b, head.Header, time.Now())
+	s.observeHealth(b, head, time.Now())
 	n, err := io.Copy(io.Discard, io.LimitReader(head.Body, maxHealthBodyBytes+1))
 	// The response has no request ID. If a duplicate of it arrives, the missing ID shows that a
 	// success is not the response to the next request on c. A refusal without an ID would be taken
@@ -116,11 +151,16 @@
 }
 
 // observeHealth records how long the server stays cold, if the response to a health check
-// states it. A response of another server at the address states nothing of this one.
-func (s *Server) observeHealth(b *backend, header http.Header, now time.Time) {
+// states it. A response of another server at the address states nothing of this one, but that
+// it has been replaced: no server lacks anything for a health check, so that only another one
+// rejects it as misdirected.
+func (s *Server) observeHealth(b *backend, head *http.Response, now time.Time) {
 	info := b.info.Load()
-	value := header.Get(s.protocol.Warmup)
-	if value == "" || header.Get(s.protocol.ServerID) != info.ID {
+	responder := head.Header.Get(s.protocol.ServerID)
+	other := head.StatusCode == http.StatusMisdirectedRequest || responder != "" && responder != info.ID
+	s.observeResponder(b, notice.Rejection{Misdirected: other, Expected: info.ID, Responder: responder}, now)
+	value := head.Header.Get(s.protocol.Warmup)
+	if value == "" || responder != info.ID {
 		s.metrics.healthChecks.Add("not-stated", 1)
 		return
 	}
--- a/router/direct/health_check_test.go
+++ b/router/direct/health_check_test.go
@@ -39,6 +39,19 @@
 	}
 }
 
+// TestIdentityCheckIsRare guards against a health check for each of many requests that a server
+// rejects as misdirected.
+func TestIdentityCheckIsRare(t *testing.T) {
+	got := map[string]bool{
+		"in doubt":            healthCheckState{path: "/health", lastCheck: healthCheckInterval}.identityDue(),
+		"no health path":      healthCheckState{lastCheck: healthCheckInterval}.identityDue(),
+		"checked a while ago": healthCheckState{path: "/health", lastCheck: healthCheckInterval - 1}.identityDue(),
+	}
+	if diff := cmp.Diff(map[string]bool{"in doubt": true, "no health path": false, "checked a while ago": false}, got); diff != "" {
+		t.Errorf("due (-want +got):\n%s", diff)
+	}
+}
+
 // TestRestartedServerCountsAsCold guards against a server that closes its connections, is
 // back at once under the same ID, and gets as many requests as a warm one until its record is
 // read. What is unreadable, or stated by another server, changes nothing.
@@ -120,7 +133,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if got := s.checkHealth(b, c, "/health"); got != want {
+		if got := s.exchangeHealth(b, c, "/health"); got != want {
 			t.Errorf("after %.60q the connection may be used: %v, want %v", response, got, want)
 		}
 		b.pool.closeConn(c)
--- a/router/direct/owner_lookup.go
+++ b/router/direct/owner_lookup.go
@@ -16,6 +16,7 @@
 // ownerLookup is the result of looking up a key in the snapshots.
 type ownerLookup struct {
 	backend   *backend      // server to send the request to; nil if there is none at present
+	fence     uint64        // of the grant to backend; 0 if backend is nil
 	replaced  bool          // the owner's address belongs to another server; the key is granted anew once the store lists the change
 	grantWait time.Duration // time until the grant to the new owner of a moving key is guaranteed possible; 0 if the key is not moving or the wait is over
 
@@ -48,7 +49,7 @@
 	if known.backend.replaced(now) {
 		return ownerLookup{replaced: true}
 	}
-	return ownerLookup{backend: known.backend}
+	return ownerLookup{backend: known.backend, fence: partition.Fence}
 }
 
 // remainingGrantWait returns how much longer the grant of a moving partition
@@ -76,6 +77,7 @@
 		now := time.Now()
 		owner := s.lookupOwner(state.service, key, s.placementOf(state.route), now)
 		if owner.backend != nil {
+			state.owner = owner
 			return owner.backend, nil
 		}
 		remaining := r.deadline.Sub(now)
--- a/router/direct/replaced.go
+++ b/router/direct/replaced.go
@@ -32,20 +32,43 @@
 	rejection := notice.Rejection{
 		Misdirected: a.response.status == http.StatusMisdirectedRequest,
 		Expected:    info.ID, Responder: a.response.header.Get(s.protocol.ServerID),
+		ChecksKeys: s.serviceOf(b).Exclusive,
 	}
-	if !rejection.ShowsReplacement() {
-		return
+	if rejection.ShowsReplacement() {
+		s.chargeArrival(rejection.Responder, info.Service, now)
+	}
+	s.observeResponder(b, rejection, now)
+	if rejection.Misdirected && rejection.Responder == "" && !b.replaced(now) {
+		s.checkIdentity(b, now)
 	}
-	s.chargeArrival(rejection.Responder, info.Service, now)
-	if !b.markReplaced(now) {
+}
+
+// observeResponder takes b out of use if a rejection shows that another server has its address.
+func (s *Server) observeResponder(b *backend, rejection notice.Rejection, now time.Time) {
+	if !rejection.ShowsReplacement() || !b.markReplaced(now) {
 		return
 	}
+	info := b.info.Load()
 	s.log.Limited("server-replaced", "server", info.ID, "service", info.Service, "address", info.Address, "by", rejection.Responder)
 	s.onReplaced(info.Incarnation)
 	s.concludeSilences()
 	s.notifyChange()
 }
 
+// rejectsAgain reports whether a further attempt of r would be rejected as the last one was: its
+// key still belongs to the server that rejected it as misdirected, under the same grant.
+func (s *Server) rejectsAgain(r *request, state *requestState, a attemptResult, now time.Time) bool {
+	if a.response.status != http.StatusMisdirectedRequest {
+		return false
+	}
+	key, ok := s.exclusiveKey(r, state.service)
+	if !ok {
+		return false
+	}
+	owner := s.lookupOwner(state.service, key, s.placementOf(state.route), now)
+	return owner.backend != nil && owner.backend == state.owner.backend && owner.fence == state.owner.fence
+}
+
 // chargeArrival counts a request that reached a server of another service as a retry there,
 // since the service gets a request that no caller sent to it.
 func (s *Server) chargeArrival(responderID, service string, now time.Time) {
