Requests that crash servers within their responses are quarantined

Cause: observeSilence looked for a crash only after an attempt without a byte of a response, and only if the server had responded to no request that was sent later. Both hide a server that responds, to this request or to others, and crashes a moment after.

Change: a connection that breaks before the end of a response is followed by the question whether the server accepts another, whatever it responded to others before. An attempt that falls silent within its response waits for the server list as one without a byte does. The bytes that a server held when it crashed are learnt from both.

--- a/router/direct/server_bytes.go
+++ b/router/direct/server_bytes.go
@@ -146,7 +146,7 @@
 }
 
 // removeBytes ends the counting of a request's body after its attempt. A success shows that the
-// server can hold the bytes that it held; those at an attempt without a response are kept, in
+// server can hold the bytes that it held; those at an attempt without a complete response are kept, in
 // case a crash of the server is detected.
 func (b *backend) removeBytes(bytes int64, terms *roomTerms, a attemptResult, now time.Time) {
 	b.mu.Lock()
@@ -160,7 +160,7 @@
 		service.mu.Lock()
 		defer service.mu.Unlock()
 		service.limit = service.limit.withBorne(held)
-	case a.unanswered() && a.sentAt.After(b.bytes.crashedAt):
+	case (a.unanswered() || a.cutOff()) && a.sentAt.After(b.bytes.crashedAt):
 		if now.Sub(b.bytes.failedAt) > heldAtFailureMaxAge {
 			b.bytes.heldAtFailure = 0
 		}
--- a/router/direct/silence.go
+++ b/router/direct/silence.go
@@ -2,20 +2,23 @@
 
 import (
 	"context"
+	"errors"
+	"os"
 	"sync"
 	"time"
 
 	"bronzewind.example/core/ownership"
 )
 
-// The decisions in this file handle a request that crashes backend servers without a reset:
-// their connections stay open and silent, or are reset only once the servers have restarted.
-// Silence alone does not show a crash, since a slow or frozen server and a cut link are silent
-// too. It counts as a crash only if the incarnation that was sent the request has ended, and
-// has responded to no later request.
+// The decisions in this file handle a request that crashes backend servers, before they respond
+// or within their responses. A server whose connection breaks has crashed if it accepts no other
+// one. A crash may also come without a reset: connections stay open and silent, or are reset only
+// once the servers have restarted. Silence alone does not show a crash, since a slow or frozen
+// server and a cut link are silent too. It counts as a crash only if the incarnation that was
+// sent the request has ended, and has responded to no later request.
 
 const (
-	silenceLife = 20 * time.Second // how long an attempt without a response is kept after its end
+	silenceLife = 20 * time.Second // how long an attempt without a complete response is kept after its end
 	maxSilences = 512              // attempts that are remembered
 )
 
@@ -35,7 +38,7 @@
 	// serverEnd is what is known of the end of an incarnation.
 	serverEnd int
 
-	// silence is an attempt at a server that ended without a byte of a response.
+	// silence is an attempt at a server that ended without a complete response.
 	silence struct {
 		fingerprint Fingerprint
 		backend     *backend
@@ -43,7 +46,7 @@
 		endedAt     time.Time
 	}
 
-	// silences holds the attempts without a response of which it is not known whether their
+	// silences holds the attempts without a complete response of which it is not known whether their
 	// servers have crashed.
 	silences struct {
 		mu   sync.Mutex
@@ -115,8 +118,20 @@
 	return !a.responded && (a.outcome == outcomeUnknown || a.outcome == outcomeCancelled && a.requestBytes > 0)
 }
 
+// cutOff reports whether a response began and did not end, so that the server may have crashed
+// within it.
+func (a attemptResult) cutOff() bool {
+	return a.responded && a.outcome == outcomeUnknown && (a.closedByServer() || errors.Is(a.err, os.ErrDeadlineExceeded))
+}
+
+// closedByServer reports whether the server closed or reset the connection before the end of its
+// response.
+func (a attemptResult) closedByServer() bool {
+	return a.closedBeforeResponse || closedByPeer(a.err) || errors.Is(a.err, errWriteFailed)
+}
+
 // observeSilence records whether the server responded to an attempt, and looks for a crash
-// if not.
+// if its response is not complete.
 func (s *Server) observeSilence(b *backend, f Fingerprint, a attemptResult) {
 	now := time.Now()
 	if a.outcome == outcomeDone && a.response.status < 500 {
@@ -126,17 +141,17 @@
 	if a.responded {
 		b.recordResponse(a.sentAt)
 		s.silences.respondedTo(b, a.sentAt)
-		return
 	}
-	if !a.unanswered() || b.respondedSince(a.sentAt) {
+	if !a.unanswered() && !a.cutOff() {
 		return
 	}
 	x := silence{fingerprint: f, backend: b, sentAt: a.sentAt, endedAt: now}
-	if a.closedBeforeResponse {
+	switch {
+	case a.closedByServer(): // until then, it may have responded to requests that were sent later
 		s.checkCrash(x)
-		return
+	case !b.respondedSince(a.sentAt):
+		s.addSilence(x)
 	}
-	s.addSilence(x)
 }
 
 func (s *Server) addSilence(x silence) {
--- a/router/direct/silence_test.go
+++ b/router/direct/silence_test.go
@@ -2,11 +2,18 @@
 
 import (
 	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"bronzewind.example/core/code"
 	"bronzewind.example/core/ownership"
 )
 
@@ -19,6 +26,10 @@
 		i.StartedMillis++
 		return i
 	}
+	attempts := map[string]attemptResult{
+		"without a byte":    {outcome: outcomeUnknown, requestBytes: 1},
+		"within a response": {outcome: outcomeUnknown, requestBytes: 1, responded: true, code: code.AnswerCutOff, err: os.ErrDeadlineExceeded},
+	}
 	for _, c := range []struct {
 		name  string
 		after func(s *Server, b *backend, sentAt time.Time) []ServerInfo // the list after a silent attempt at b
@@ -51,24 +62,86 @@
 			return nil
 		}, false},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			s := newTestServer(t, Route{}, false)
-			for n := range quarantineThreshold {
-				info := ServerInfo{Incarnation: ownership.Incarnation{ID: fmt.Sprint("i", n), StartedMillis: 1}, Service: "s", Address: "127.0.0.1:1"}
-				s.SetServers([]ServerInfo{info}, time.Now())
-				b := s.servers.Load().incarnations[info.Incarnation].backend
-				sentAt := time.Now()
-				s.observeSilence(b, f, attemptResult{outcome: outcomeUnknown, sentAt: sentAt, requestBytes: 1})
-				s.SetServers(c.after(s, b, sentAt), time.Now())
-				s.Wait()
-			}
-			if got := s.suspects.quarantined(f, time.Now()); got != c.want {
-				t.Errorf("quarantined %v, want %v", got, c.want)
-			}
-		})
+		for silent, a := range attempts {
+			t.Run(silent+", "+c.name, func(t *testing.T) {
+				s := newTestServer(t, Route{}, false)
+				for n := range quarantineThreshold {
+					info := ServerInfo{Incarnation: ownership.Incarnation{ID: fmt.Sprint("i", n), StartedMillis: 1}, Service: "s", Address: "127.0.0.1:1"}
+					s.SetServers([]ServerInfo{info}, time.Now())
+					b := s.servers.Load().incarnations[info.Incarnation].backend
+					a.sentAt = time.Now()
+					s.observeSilence(b, f, a)
+					s.SetServers(c.after(s, b, a.sentAt), time.Now())
+					s.Wait()
+				}
+				if got := s.suspects.quarantined(f, time.Now()); got != c.want {
+					t.Errorf("quarantined %v, want %v", got, c.want)
+				}
+			})
+		}
 	}
 }
 
+// TestCrashesWithinResponsesAreCounted guards against a request that is never quarantined
+// because the servers that it crashes have begun to respond, or have responded to later requests
+// before they crash. Servers that break a response off and go on do not count.
+func TestCrashesWithinResponsesAreCounted(t *testing.T) {
+	const head = "HTTP/1.1 200 X\r\nT-Id: r\r\nT-Signed: s\r\n"
+	for name, beginning := range map[string]string{
+		"nothing":                   "",
+		"part of a head":            head,
+		"an interim response":       "HTTP/1.1 103 X\r\n\r\n",
+		"part of a short body":      head + "Content-Length: 100\r\n\r\npart",
+		"part of a body in chunks":  head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+		"part of a streamed body":   head + "Content-Length: 1000000\r\n\r\n" + strings.Repeat("x", 2*streamWindow),
+		"part of a body to its end": head + "\r\npart",
+	} {
+		for _, crash := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, crash=%v", name, crash), func(t *testing.T) {
+				var s *Server
+				var sends atomic.Int64
+				var servers []string
+				for range 8 {
+					var server *scriptedServer
+					server = newScriptedServer(t, func(c net.Conn, _ *http.Request, _ int64) {
+						sends.Add(1)
+						fmt.Fprint(c, beginning)
+						for _, b := range s.listedServers() {
+							b.recordResponse(time.Now()) // to a request that was sent later
+						}
+						if crash {
+							server.listener.Close()
+						}
+						reset(c)
+					})
+					servers = append(servers, server.listener.Addr().String())
+				}
+				s = newTestServer(t, Route{Idempotent: true, Attempts: 1}, false, servers...)
+				for range 6 {
+					sendUntilCut(s)
+					s.Wait()
+				}
+				want := int64(6)
+				if crash {
+					want = quarantineThreshold
+				}
+				if got := sends.Load(); got != want {
+					t.Errorf("the request was sent %d times, want %d", got, want)
+				}
+			})
+		}
+	}
+}
+
+// sendUntilCut sends a request of which the response may be broken off.
+func sendUntilCut(s *Server) {
+	defer func() { _ = recover() }() // ends the connection of the caller
+	r := httptest.NewRequest(http.MethodGet, "http://h/x", http.NoBody)
+	r.Header.Set("T-Id", "r")
+	r.Header.Set("T-Deadline", "20000")
+	s.ServeHTTP(httptest.NewRecorder(), r)
+}
+
 // TestSilenceIsBounded guards against a fleet of frozen servers that fills the memory with
 // attempts without a response.
 func TestSilenceIsBounded(t *testing.T) {
