Requests passed on aren't served under an older configuration

Callers of an instance that reaches no backend server could get a 404 for a route that its configuration has, or the response of a service to which the route went before (CONFIG).

Cause: the instance that the request is passed on to looks the route up in its own configuration, which may be older.

Change: the request carries the version of the sender's configuration, and an instance with an older one refuses it as not run.

Before: TestForwardedRequestIsServedUnderItsConfiguration got 404, want 503, and a response of the former service, want none. After: it passes. Without the header, as earlier versions of the program send requests, nothing changes.

--- a/router/direct/exchange.go
+++ b/router/direct/exchange.go
@@ -220,6 +220,9 @@
 	h := r.header.Clone()
 	if b.peer {
 		h.Set(callerIPHeader, r.callerIP)
+		if t := s.routingTable.Load(); t != nil {
+			h.Set(configVersionHeader, strconv.FormatUint(t.Version, 10))
+		}
 	} else {
 		h.Set(s.protocol.ExpectedServer, b.info.Load().ID)
 	}
--- a/router/direct/peers.go
+++ b/router/direct/peers.go
@@ -20,6 +20,10 @@
 	// callerIPHeader carries the IP address of the caller from one instance to another.
 	callerIPHeader = "Bronzewind-Caller-Ip"
 
+	// configVersionHeader carries the version of the sender's routing table from one instance to
+	// another. Earlier versions of the program send none.
+	configVersionHeader = "Bronzewind-Config-Version"
+
 	// maxForwardedRequests limits the requests of other instances that an instance serves
 	// at once, so that its own callers keep most of its processor.
 	maxForwardedRequests = 64
@@ -125,7 +129,9 @@
 
 func (s *Server) serveForwarded(w http.ResponseWriter, hr *http.Request) {
 	origin := requestOrigin{callerIP: hr.Header.Get(callerIPHeader), forwarded: true}
+	outdated := s.outdatedFor(hr.Header)
 	hr.Header.Del(callerIPHeader)
+	hr.Header.Del(configVersionHeader)
 	busy := false
 	select {
 	case s.peers.serving <- struct{}{}:
@@ -133,7 +139,7 @@
 	default:
 		busy = true
 	}
-	if busy || s.reachability.partitioned() {
+	if busy || outdated || s.reachability.partitioned() {
 		r := &request{id: hr.Header.Get(s.protocol.RequestID), forwarded: true}
 		s.writeFailure(w, r, &requestFailure{code: code.BackendUnreachable, retryAfter: minRetryAfter})
 		return
@@ -141,6 +147,17 @@
 	s.serveRequest(w, hr, origin)
 }
 
+// outdatedFor reports whether the instance that sent a request with header has a newer routing
+// table than this one, which may lack its route or send it to a former service.
+func (s *Server) outdatedFor(header http.Header) bool {
+	version, err := strconv.ParseUint(header.Get(configVersionHeader), 10, 64)
+	if err != nil {
+		return false // not stated
+	}
+	t := s.routingTable.Load()
+	return t == nil || t.Version < version
+}
+
 // choosePeer returns the instance by way of which r is sent if this instance reaches no
 // backend server: the one with the fewest requests of this instance in flight, with
 // preference for near ones. It returns nil if there is none, none that the placement of r
--- a/router/direct/peers_test.go
+++ b/router/direct/peers_test.go
@@ -81,18 +81,54 @@
 	}
 }
 
+// TestForwardedRequestIsServedUnderItsConfiguration guards against callers who get a 404, or the
+// response of a former service, because their request was passed on to an instance that does not
+// have the newest configuration yet.
+func TestForwardedRequestIsServedUnderItsConfiguration(t *testing.T) {
+	type result struct {
+		Status int
+		Sent   int64
+	}
+	for name, c := range map[string]struct {
+		own, peer uint64 // versions of the routing tables
+		peerRoute bool   // the peer's table has the route
+		want      result
+	}{
+		"the peer lacks the new route":               {3, 2, false, result{503, 0}},
+		"the peer sends the route to a former place": {3, 2, true, result{503, 0}},
+		"the same version":                           {3, 3, true, result{200, 1}},
+		"the peer has a newer version":               {3, 4, true, result{200, 1}},
+	} {
+		server := newScriptedServer(t, func(c net.Conn, r *http.Request, _ int64) {
+			writeTestResponse(c, 200, r.Header.Get("T-Id"), "good", "T-Signed: s")
+		})
+		s, peer := newPartitionedServer(t, Route{Attempts: 2}, server.listener.Addr().String())
+		route, services := Route{Name: "r", Host: "h", Prefix: "/", Attempts: 2, Timeout: testTimeout, Target: testTimeout, Parts: []Part{{Service: "s", Weight: 1}}}, []Service{{Name: "s", MaxConnections: 50}}
+		s.SetRoutingTable(NewRoutingTable(c.own, []Route{route}, services, Limits{}))
+		peerRoute := route
+		if !c.peerRoute {
+			peerRoute.Prefix = "/former/"
+		}
+		peer.SetRoutingTable(NewRoutingTable(c.peer, []Route{peerRoute}, services, Limits{}))
+		got := result{sendRequest(t, s, http.MethodPost, "request", "body").Code, server.requests.Load()}
+		if diff := cmp.Diff(c.want, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", name, diff)
+		}
+	}
+}
+
 // TestForwardedRequestIsUnchanged guards against servers that get headers meant for another
 // instance, and against responses that are changed on the way back.
 func TestForwardedRequestIsUnchanged(t *testing.T) {
-	type sent struct{ Method, URI, Host, Expected, CallerIP string }
+	type sent struct{ Method, URI, Host, Expected, CallerIP, ConfigVersion string }
 	got := make(chan sent, 1)
 	server := newScriptedServer(t, func(c net.Conn, r *http.Request, _ int64) {
-		got <- sent{r.Method, r.RequestURI, r.Host, r.Header.Get("T-Expect"), r.Header.Get(callerIPHeader)}
+		got <- sent{r.Method, r.RequestURI, r.Host, r.Header.Get("T-Expect"), r.Header.Get(callerIPHeader), r.Header.Get(configVersionHeader)}
 		writeTestResponse(c, 201, r.Header.Get("T-Id"), "made", "T-Signed: s", "X-Other: o")
 	})
 	s, _ := newPartitionedServer(t, Route{Attempts: 1}, server.listener.Addr().String())
 	w := sendRequest(t, s, http.MethodPut, "request", "body")
-	if diff := cmp.Diff(sent{"PUT", "http://h/x?q=1", "h", "i0", ""}, <-got); diff != "" {
+	if diff := cmp.Diff(sent{"PUT", "http://h/x?q=1", "h", "i0", "", ""}, <-got); diff != "" {
 		t.Errorf("request at the server (-want +got):\n%s", diff)
 	}
 	type response struct{ Status, Signature, Other, Body string }
