--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -34,7 +34,8 @@
 	}
 	defer f.close()
 	cases := map[string]func() (bool, error){
-		"slow-read": func() (bool, error) { return runSlowRead(f, trouble) },
+		"early-answer": func() (bool, error) { return runEarlyAnswer(f, trouble) },
+		"slow-read":    func() (bool, error) { return runSlowRead(f, trouble) },
 	}
 	play, ok := cases[os.Args[1]]
 	if !ok {
