Review: responses to slow readers are cut off after a planned stop

Case 13, rule LOST: a connection that a response closes is read for one second only. If its client is still reading and sends a further request then, the kernel resets it and drops the rest of the responses.

--- a/review/stand-3/earlyanswer.go
+++ b/review/stand-3/earlyanswer.go
@@ -38,6 +38,7 @@
 // runEarlyAnswer sends uploads whose upstream, with trouble, answers before it has read the
 // body, keeps the connection and reads on later.
 func runEarlyAnswer(f *fleet, trouble bool) (broken bool, err error) {
+	f.regions = kitadojoRegions
 	f.store.put("keyed.op", "config", []byte(uploadConfiguration))
 	got := &bodies{bytes: map[string]int64{}}
 	for n := range 2 {
@@ -48,7 +49,7 @@
 		}
 	}
 	time.Sleep(200 * time.Millisecond)
-	i, err := f.startInstance(machine{cpuShare: 0.8, memoryMB: 536, descriptors: 8192, linkMbps: 200}, "kushiro-a", "doto")
+	i, err := f.startInstance(machine{cpuShare: 0.8, memoryMB: 536, descriptors: 8192, linkMbps: 200}, "kushiro-a")
 	if err != nil {
 		return false, err
 	}
--- a/review/stand-3/fleet.go
+++ b/review/stand-3/fleet.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -30,8 +32,9 @@
 
 	// fleet is a small deployment on loopback addresses.
 	fleet struct {
-		network   string // first three bytes of the addresses
-		folder    string // for settings and logs; removed at the end
+		network   string            // first three bytes of the addresses
+		regions   map[string]string // by zone
+		folder    string            // for settings and logs; removed at the end
 		store     *store
 		record    *record
 		instances []*instance
@@ -92,11 +95,11 @@
 }
 
 // startInstance starts the program as the deploy file runs it, and returns once it is ready.
-func (f *fleet) startInstance(m machine, zone, region string) (*instance, error) {
+func (f *fleet) startInstance(m machine, zone string) (*instance, error) {
 	n := len(f.instances) + 1
 	i := &instance{name: fmt.Sprintf("front-%d", n), ip: fmt.Sprintf("%s.%d", f.network, 10+n), ended: make(chan struct{})}
 	file := filepath.Join(f.folder, i.name+".toml")
-	if err := os.WriteFile(file, []byte(f.settings(i, m, zone, region)), 0o600); err != nil {
+	if err := os.WriteFile(file, []byte(f.settings(i, m, zone, f.regions[zone])), 0o600); err != nil {
 		return nil, err
 	}
 	output, err := os.Create(filepath.Join(f.folder, i.name+".log"))
@@ -168,6 +171,14 @@
 	return 0
 }
 
+func (f *fleet) zoneLines() string {
+	var b strings.Builder
+	for _, zone := range slices.Sorted(maps.Keys(f.regions)) {
+		fmt.Fprintf(&b, "%s = %q\n", zone, f.regions[zone])
+	}
+	return b.String()
+}
+
 func (f *fleet) settings(i *instance, m machine, zone, region string) string {
 	return fmt.Sprintf(`nodeName = %q
 role = "entry"
@@ -186,9 +197,7 @@
 contracts = ["base","drain","config","cost","retry","recover","health","pool","own","platform"]
 grants = "request"
 [zones]
-kushiro-a = "doto"
-asahikawa-a = "dohoku"
-[listen]
+%s[listen]
 front = "%s:%d"
 readinessEndpoint = "%s:%d"
 control = "%s:%d"
@@ -235,6 +244,6 @@
 keep = "300s"
 partMb = 200
 ttlMin = "1000ms"
-`, i.name, i.ip, zone, region, internalPort, internalPort+15, i.ip, frontPort, i.ip, readyPort, i.ip, controlPort,
+`, i.name, i.ip, zone, region, internalPort, internalPort+15, f.zoneLines(), i.ip, frontPort, i.ip, readyPort, i.ip, controlPort,
 		m.cpuShare, m.memoryMB, m.descriptors, m.linkMbps, f.store.address())
 }
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -35,6 +35,7 @@
 	defer f.close()
 	cases := map[string]func() (bool, error){
 		"early-answer": func() (bool, error) { return runEarlyAnswer(f, trouble) },
+		"slow-client":  func() (bool, error) { return runSlowClient(f, trouble) },
 		"slow-read":    func() (bool, error) { return runSlowRead(f, trouble) },
 	}
 	play, ok := cases[os.Args[1]]
--- a/review/stand-3/slowread.go
+++ b/review/stand-3/slowread.go
@@ -31,6 +31,8 @@
 {"resourceKind":"services","metadata":{"name":"archive"},"spec":{"healthCheckPath":"/health","maxConnections":450,"protocol":"h1","tls":false}},
 {"resourceKind":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}]}`
 
+var kitadojoRegions = map[string]string{"kushiro-a": "doto", "asahikawa-a": "dohoku"}
+
 // uploadRuns holds the uploads that their upstreams began to work on.
 type uploadRuns struct {
 	mu    sync.Mutex
@@ -52,6 +54,7 @@
 // their work, and otherwise before it.
 func runSlowRead(f *fleet, trouble bool) (broken bool, err error) {
 	runs := &uploadRuns{begun: map[string]bool{}}
+	f.regions = kitadojoRegions
 	f.store.put("keyed.op", "config", []byte(uploadConfiguration))
 	for n := range 3 {
 		b := &backend{id: fmt.Sprintf("i-%d", n+1), service: "archive", zone: "kushiro-a", slots: 6, store: f.store}
@@ -62,11 +65,11 @@
 	}
 	time.Sleep(200 * time.Millisecond)
 	m := machine{cpuShare: 0.8, memoryMB: 536, descriptors: 8192, linkMbps: 200}
-	stopped, err := f.startInstance(m, "kushiro-a", "doto")
+	stopped, err := f.startInstance(m, "kushiro-a")
 	if err != nil {
 		return false, err
 	}
-	if _, err := f.startInstance(m, "asahikawa-a", "dohoku"); err != nil {
+	if _, err := f.startInstance(m, "asahikawa-a"); err != nil {
 		return false, err
 	}
 	results := make(chan upload, uploads)
