--- a/review/stand-3/backend.go
+++ b/review/stand-3/backend.go
@@ -18,59 +18,107 @@
 type backend struct {
 	id, service, zone string
 	slots             int
-	listener          net.Listener
 	store             *store
 	run               func(b *backend, c net.Conn, in *bufio.Reader, r *http.Request)
 
 	mu       sync.Mutex
-	sequence int  // of the last record in the store; guarded by mu
-	leaving  bool // guarded by mu
+	address  string                // guarded by mu
+	listener net.Listener          // nil while the server is down; guarded by mu
+	conns    map[net.Conn]struct{} // guarded by mu
+	born     int64                 // Unix milliseconds of its start; guarded by mu
+	sequence int                   // of the last record in the store; guarded by mu
 }
 
 func startBackend(address string, b *backend) (*backend, error) {
-	l, err := net.Listen("tcp", address)
+	b.address = address
+	return b, b.start()
+}
+
+// start begins a lifetime of the server.
+func (b *backend) start() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l, err := net.Listen("tcp", b.address)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	b.listener = l
-	born := time.Now().UnixMilli()
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go b.serve(c)
-		}
-	}()
+	b.listener, b.conns, b.born, b.sequence = l, map[net.Conn]struct{}{}, time.Now().UnixMilli(), 0
+	go b.accept(l)
 	go func() {
-		for {
-			b.beat(born)
+		for b.beat(l) {
 			time.Sleep(heartbeat)
 		}
 	}()
-	return b, nil
+	return nil
+}
+
+func (b *backend) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		b.mu.Lock()
+		if b.listener == l {
+			b.conns[c] = struct{}{}
+			go b.serve(c)
+		} else {
+			_ = c.Close() // the server has crashed
+		}
+		b.mu.Unlock()
+	}
 }
 
-// beat writes the server's record.
-func (b *backend) beat(born int64) {
+// crash ends the lifetime of the server, as the end of its process does. It reports whether
+// the server was up.
+func (b *backend) crash() bool {
 	b.mu.Lock()
-	b.sequence++
-	state := "ready"
-	if b.leaving {
-		state = "draining"
+	defer b.mu.Unlock()
+	if b.listener == nil {
+		return false
+	}
+	_ = b.listener.Close() // ends accept
+	for c := range b.conns {
+		_ = c.(*net.TCPConn).SetLinger(0) // fails only if the connection is closed
+		_ = c.Close()
+	}
+	b.listener, b.conns = nil, nil
+	return true
+}
+
+// beat writes the server's record, unless the lifetime with listener l has ended.
+func (b *backend) beat(l net.Listener) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.listener != l {
+		return false
 	}
+	b.sequence++
 	record, _ := json.Marshal(map[string]any{
-		"address": b.listener.Addr().String(), "born": born,
+		"address": b.address, "born": b.born,
 		"info":   map[string]any{"service": b.service, "version": "v1", "zone": b.zone, "maxConcurrency": b.slots},
-		"status": map[string]any{"state": state, "sequence": b.sequence, "warmupLeft": "0ms"},
+		"status": map[string]any{"state": "ready", "sequence": b.sequence, "warmupLeft": "0ms"},
 	}) // strings and numbers always encode
-	b.mu.Unlock()
 	b.store.put("keyed.servers", b.id, record)
+	return true
+}
+
+// expire removes the record of a server that is down.
+func (b *backend) expire() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.listener == nil {
+		b.store.put("keyed.servers", b.id, nil)
+	}
 }
 
 func (b *backend) serve(c net.Conn) {
-	defer c.Close()
+	defer func() {
+		_ = c.Close() // it may be closed
+		b.mu.Lock()
+		delete(b.conns, c)
+		b.mu.Unlock()
+	}()
 	in := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(in)
--- a/review/stand-3/fleet.go
+++ b/review/stand-3/fleet.go
@@ -43,7 +43,7 @@
 	// instance is one process of the program under review.
 	instance struct {
 		name, ip string
-		command  *exec.Cmd
+		command  *exec.Cmd     // the process started last; nil before the first
 		ended    chan struct{} // closed when the process has ended
 	}
 
@@ -97,29 +97,36 @@
 // startInstance starts the program as the deploy file runs it, and returns once it is ready.
 func (f *fleet) startInstance(m machine, zone string) (*instance, error) {
 	n := len(f.instances) + 1
-	i := &instance{name: fmt.Sprintf("front-%d", n), ip: fmt.Sprintf("%s.%d", f.network, 10+n), ended: make(chan struct{})}
+	i := &instance{name: fmt.Sprintf("front-%d", n), ip: fmt.Sprintf("%s.%d", f.network, 10+n)}
+	f.instances = append(f.instances, i)
+	return i, f.restartInstance(i, m, zone)
+}
+
+// restartInstance starts the process of i, which does not run, and returns once it is ready.
+func (f *fleet) restartInstance(i *instance, m machine, zone string) error {
 	file := filepath.Join(f.folder, i.name+".toml")
 	if err := os.WriteFile(file, []byte(f.settings(i, m, zone, f.regions[zone])), 0o600); err != nil {
-		return nil, err
+		return err
 	}
 	output, err := os.Create(filepath.Join(f.folder, i.name+".log"))
 	if err != nil {
-		return nil, err
+		return err
 	}
-	i.command = exec.Command("target/bronzewind")
-	i.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "BRONZEWIND_SETTINGS=" + file}
-	i.command.Stdout, i.command.Stderr = output, output
-	i.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := i.command.Start(); err != nil {
-		return nil, err
+	command := exec.Command("target/bronzewind")
+	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "BRONZEWIND_SETTINGS=" + file}
+	command.Stdout, command.Stderr = output, output
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
+		return err
 	}
+	ended := make(chan struct{})
+	i.command, i.ended = command, ended
 	go func() {
-		_ = i.command.Wait() // how it ended does not matter
-		close(i.ended)
+		_ = command.Wait() // how it ended does not matter
+		close(ended)
 	}()
-	f.instances = append(f.instances, i)
-	f.record.add("%s started, process %d, at %s", i.name, i.command.Process.Pid, i.ip)
-	return i, i.awaitReady()
+	f.record.add("%s started, process %d, at %s", i.name, command.Process.Pid, i.ip)
+	return i.awaitReady()
 }
 
 func (i *instance) awaitReady() error {
@@ -150,6 +157,9 @@
 // close ends all processes and removes the folder.
 func (f *fleet) close() {
 	for _, i := range f.instances {
+		if i.command == nil {
+			continue
+		}
 		_ = i.command.Process.Kill() // it may have ended
 		<-i.ended
 	}
@@ -157,14 +167,20 @@
 }
 
 // peakMemory returns the process's peak resident memory in bytes.
-func (i *instance) peakMemory() int64 {
+func (i *instance) peakMemory() int64 { return i.statusBytes("VmHWM") }
+
+// memory returns the process's resident memory in bytes.
+func (i *instance) memory() int64 { return i.statusBytes("VmRSS") }
+
+// statusBytes returns a field of the process's status; 0 if the process has ended.
+func (i *instance) statusBytes(field string) int64 {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", i.command.Process.Pid))
 	if err != nil {
 		return 0
 	}
 	for line := range strings.Lines(string(data)) {
 		var kilobytes int64
-		if n, _ := fmt.Sscanf(line, "VmHWM: %d kB", &kilobytes); n == 1 {
+		if n, _ := fmt.Sscanf(line, field+": %d kB", &kilobytes); n == 1 {
 			return kilobytes << 10
 		}
 	}
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -36,9 +36,7 @@
 	cases := map[string]func() (bool, error){
 		"early-answer": func() (bool, error) { return runEarlyAnswer(f, trouble) },
 		"slow-client":  func() (bool, error) { return runSlowClient(f, trouble) },
-		"heads":        func() (bool, error) { return runHeads(f, trouble) },
 		"endless-head": func() (bool, error) { return runEndlessHead(f, trouble) },
-		"slow-read":    func() (bool, error) { return runSlowRead(f, trouble) },
 	}
 	play, ok := cases[os.Args[1]]
 	if !ok {
