--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -37,6 +37,7 @@
 		"early-answer": func() (bool, error) { return runEarlyAnswer(f, trouble) },
 		"slow-client":  func() (bool, error) { return runSlowClient(f, trouble) },
 		"endless-head": func() (bool, error) { return runEndlessHead(f, trouble) },
+		"poison":       func() (bool, error) { return runPoison(f, trouble) },
 	}
 	play, ok := cases[os.Args[1]]
 	if !ok {
